--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"sniperill.example/sniperill/internal/clock"
 	"sniperill.example/sniperill/internal/host"
@@ -142,10 +143,39 @@
 			r.over(m, 0, "", "the worker's lease has lapsed")
 		case m.status != stopping && m.job.final():
 			m.halt()
+		case r.stuck(m, now):
+			r.giveUp(m, now)
 		}
 	}
 }
 
+const (
+	// stuckAfter is how long a task may show no progress beside what its size explains;
+	// agents report once a second.
+	stuckAfter = 3 * time.Second
+	// stuckPause is how long a worker on which a task stood still gets no new ones.
+	stuckPause = 4 * time.Second
+)
+
+// stuck says whether a running task has stopped to get on. Progress is shown in whole
+// percent, so that a percent of a long task may take minutes.
+func (r *reign) stuck(m *member, now clock.Instant) bool {
+	if m.status != running || m.step().Endless || now.Sub(m.worker.received) > silentReport {
+		return false
+	}
+	percent := time.Duration(r.RemoteFactor * float64(m.step().Estimate) / 100)
+	return now.Sub(m.moved) > stuckAfter+2*percent
+}
+
+// giveUp runs a task that stands still on another worker.
+func (r *reign) giveUp(m *member, now clock.Instant) {
+	r.Log.Warn().Str("task", m.task).Int("run", m.run).Str("node", m.worker.name).Int("percent", m.percent).
+		Dur("since", now.Sub(m.moved)).Msg("A task stands still; it runs again elsewhere.")
+	m.job.unit(m.key).avoid = m.lifetime
+	m.worker.closed = max(m.worker.closed, now.Add(stuckPause))
+	r.haltUnit(m.job, m.key)
+}
+
 // sortedMembers returns the members in a stable order.
 func (r *reign) sortedMembers() []*member {
 	return slices.SortedFunc(maps.Values(r.members), func(a, b *member) int { return cmp.Compare(a.task, b.task) })
--- a/internal/dispatch/path_test.go
+++ b/internal/dispatch/path_test.go
@@ -72,3 +72,16 @@
 		})
 	}
 }
+
+func TestATaskThatStandsStillRunsElsewhere(t *testing.T) {
+	virtually(t, func(t *testing.T) {
+		c := newCluster(t, 2, 2)
+		time.Sleep(3 * time.Second)
+		c.submit("a", "red", "batch", task(6, 8))
+		time.Sleep(time.Second)
+		for _, a := range c.agents {
+			a.executor.Hang(true) // Only what runs now.
+		}
+		c.await(14*time.Second, shop.Done, "a")
+	})
+}
--- a/internal/dispatch/reign.go
+++ b/internal/dispatch/reign.go
@@ -50,7 +50,7 @@
 		writer: &journal.Writer{
 			Store:    p.Store,
 			Producer: journal.Producer{Name: planProducer, Epoch: epoch},
-			Patience: -1, // A claim's outcome must be known; another planner fences this one.
+			Insist:   true, // A claim's outcome must be known; another planner fences this one.
 			Log:      p.Log,
 		},
 		changed: make(map[string]bool), jobs: make(map[string]*job),
--- a/internal/intake/desk.go
+++ b/internal/intake/desk.go
@@ -42,6 +42,18 @@
 	return c != 0 && clock.Since(c) < currentAge
 }
 
+// Bounds of what a refused caller is told to wait.
+const (
+	shortestWait = time.Second // The least that callers' interfaces can say.
+	longestWait  = 4 * time.Second
+)
+
+// ComeBack returns when a refused caller should come back: in as long again as the store
+// has been away, so that a few tries outlast a long outage and a short one costs little.
+func (d *Desk) ComeBack() time.Duration {
+	return min(longestWait, max(shortestWait, d.Writer.Away()))
+}
+
 // Submit accepts a job once, whichever entry it is submitted to and however often.
 func (d *Desk) Submit(ctx context.Context, j *workflow.Job) error {
 	log := d.Log.Info().Str("job", j.ID).Str("team", j.Team).Str("queue", j.Queue.Name).Int("tasks", j.Tasks())
--- a/internal/journal/writer.go
+++ b/internal/journal/writer.go
@@ -18,9 +18,6 @@
 	// DefaultAttemptTimeout bounds one call to the store, so that a silent connection
 	// is given up. A healthy answer takes 10 ms, one of a store 60 times slower 400 ms.
 	DefaultAttemptTimeout = 900 * time.Millisecond
-	// DefaultPatience is how long a batch that the store turned away is tried again;
-	// callers get a refusal after it, in time to try another entry.
-	DefaultPatience = 300 * time.Millisecond
 	// maxBatch bounds the records of one append; progress records have up to some 100 KB.
 	maxBatch = 64
 	// maxBatchBytes bounds the bytes of one append; the store takes 2 MiB.
@@ -35,15 +32,15 @@
 	// Producer's name and epoch must be this process's alone; its sequence is kept by the writer.
 	Producer       Producer
 	AttemptTimeout time.Duration // DefaultAttemptTimeout when zero.
-	// Patience bounds the tries of a batch that the store turned away; negative for no bound.
-	Patience time.Duration // DefaultPatience when zero.
-	Log      zerolog.Logger
+	// Insist sends a batch again also when the store turned it away.
+	Insist bool
+	Log    zerolog.Logger
 
 	mu      sync.Mutex
 	waiting []*entry
 	kick    chan struct{}
-	stalled bool // The last call failed.
-	sending bool // A batch's outcome is not known yet.
+	away    clock.Instant // When the last call failed, the first of those since one succeeded.
+	sending bool          // A batch's outcome is not known yet.
 	fenced  bool
 }
 
@@ -65,21 +62,21 @@
 	if w.AttemptTimeout == 0 {
 		w.AttemptTimeout = DefaultAttemptTimeout
 	}
-	if w.Patience == 0 {
-		w.Patience = DefaultPatience
-	}
 }
 
-// Stalled says whether the last call to the store failed and none has succeeded since.
-func (w *Writer) Stalled() bool {
+// Away returns for how long the store has been away, zero when the last call succeeded.
+func (w *Writer) Away() time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.stalled
+	if w.away == 0 {
+		return 0
+	}
+	return clock.Since(w.away)
 }
 
 // Add appends the records together and returns the first one's offset. It fails with
 // ErrUnavailable when nothing was and will be written, and with ErrUndecided when ctx
-// ended before the outcome was known. A stalled writer refuses at once.
+// ended before the outcome was known. While an outcome is open, others are refused at once.
 func (w *Writer) Add(ctx context.Context, records ...Record) (int64, error) {
 	w.init()
 	e := &entry{records: records, done: make(chan struct{})}
@@ -88,7 +85,7 @@
 	case w.fenced:
 		w.mu.Unlock()
 		return 0, fmt.Errorf("journal.Add: %w", ErrFenced)
-	case w.stalled && w.sending && w.Patience >= 0:
+	case w.away != 0 && w.sending && !w.Insist:
 		w.mu.Unlock()
 		return 0, fmt.Errorf("journal.Add: %w", ErrUnavailable)
 	}
@@ -171,13 +168,12 @@
 	}
 	w.setSending(true)
 	defer w.setSending(false)
-	begun := clock.Now()
 	maybeWritten := false
 	for {
 		offset, err := w.attempt(ctx, records)
 		switch {
 		case err == nil:
-			w.setStalled(false, nil)
+			w.noteBack()
 			w.Producer.Sequence++
 			finish(batch, offset)
 			return nil
@@ -188,11 +184,11 @@
 			fail(batch, fmt.Errorf("journal.Writer: %w: %w", ErrUndecided, ctx.Err()))
 			return ctx.Err()
 		}
-		w.setStalled(true, err)
+		w.noteAway(err)
 		if !errors.Is(err, ErrUnavailable) {
 			maybeWritten = true
 		}
-		if !maybeWritten && w.Patience >= 0 && clock.Since(begun) > w.Patience {
+		if !maybeWritten && !w.Insist {
 			fail(batch, err)
 			w.refuseQueued(err)
 			return nil
@@ -216,16 +212,21 @@
 	w.mu.Unlock()
 }
 
-func (w *Writer) setStalled(stalled bool, cause error) {
+func (w *Writer) noteAway(cause error) {
 	w.mu.Lock()
-	changed := w.stalled != stalled
-	w.stalled = stalled
-	w.mu.Unlock()
-	switch {
-	case changed && stalled:
+	defer w.mu.Unlock()
+	if w.away == 0 {
+		w.away = clock.Now()
 		w.Log.Warn().Err(cause).Msg("Lost the store for writing.")
-	case changed:
-		w.Log.Info().Msg("The store takes writes again.")
+	}
+}
+
+func (w *Writer) noteBack() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.away != 0 {
+		w.Log.Info().Dur("away", clock.Since(w.away)).Msg("The store takes writes again.")
+		w.away = 0
 	}
 }
 
--- a/internal/standin/executor.go
+++ b/internal/standin/executor.go
@@ -45,6 +45,15 @@
 	room   workflow.Room
 	begun  clock.Instant
 	needs  time.Duration
+	hung   clock.Instant // Since when it stands still, zero when it doesn't.
+}
+
+// worked returns how long the run has worked.
+func (t *run) worked() time.Duration {
+	if t.hung != 0 {
+		return t.hung.Sub(t.begun)
+	}
+	return clock.Since(t.begun)
 }
 
 // Worker returns the executor's calls.
@@ -83,6 +92,22 @@
 	e.failing = failing
 }
 
+// Hang lets every task that runs stand still from now on, or go on.
+func (e *Executor) Hang(hanging bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.advance()
+	now := clock.Now()
+	for _, t := range e.running {
+		if hanging && t.hung == 0 {
+			t.hung = now
+		}
+		if !hanging && t.hung != 0 {
+			t.begun, t.hung = t.begun.Add(now.Sub(t.hung)), 0
+		}
+	}
+}
+
 // Running returns the names of the tasks that run.
 func (e *Executor) Running() []string {
 	e.mu.Lock()
@@ -117,9 +142,9 @@
 		switch {
 		case now > e.until:
 			e.end(name, t, host.Lapsed)
-		case clock.Since(t.begun) >= t.needs && e.failing:
+		case t.worked() >= t.needs && e.failing:
 			e.end(name, t, host.Failed)
-		case clock.Since(t.begun) >= t.needs:
+		case t.worked() >= t.needs:
 			e.end(name, t, host.Done)
 		}
 	}
@@ -195,7 +220,7 @@
 	e.ended = slices.DeleteFunc(e.ended, func(o host.Ended) bool { return o.Number <= h.Seen })
 	look := host.Look{Lifetime: e.Lifetime.String(), Clock: e.clock(), Ended: slices.Clone(e.ended)}
 	for name, t := range e.running {
-		percent := int(100 * clock.Since(t.begun) / max(1, t.needs))
+		percent := int(100 * t.worked() / max(1, t.needs))
 		look.Running = append(look.Running, host.Running{Task: name, Run: t.number, Percent: percent})
 	}
 	slices.SortFunc(look.Running, func(a, b host.Running) int { return strings.Compare(a.Task, b.Task) })
