--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -243,6 +243,11 @@
 	e.kill, e.stop = kill, stop
 	go follower.Run(running)
 	go writer.Run(running)
+	go func() {
+		if _, err := writer.Add(running, ledger.EntryRecord(ledger.Address{Name: name})); err != nil && running.Err() == nil {
+			c.t.Error(err)
+		}
+	}()
 	go func() {
 		defer close(e.stopped)
 		_ = planner.Run(planning)
@@ -371,6 +376,18 @@
 	}
 }
 
+// planner returns the entry that plans.
+func (c *cluster) planner() *entry {
+	c.t.Helper()
+	for _, e := range c.entries {
+		if p, _ := e.ledger.Planner(); p.Name == e.name && !p.Resigned {
+			return e
+		}
+	}
+	c.t.Fatal("no entry plans")
+	return nil
+}
+
 // planners counts how often an entry stepped up.
 func (c *cluster) planners() int {
 	n := 0
--- a/internal/dispatch/path_test.go
+++ b/internal/dispatch/path_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -85,3 +86,55 @@
 		c.await(14*time.Second, shop.Done, "a")
 	})
 }
+
+// An agent's newest look at its worker may be older than the newest start. A planner
+// that takes over in between must not take the run for one that never started.
+func TestATakeoverKeepsWhatHasJustStarted(t *testing.T) {
+	virtually(t, func(t *testing.T) {
+		c := newCluster(t, 2, 3)
+		time.Sleep(3 * time.Second)
+		for i, d := range []time.Duration{0, 300, 600, 80} {
+			c.submit(string(rune('a'+i)), "red", "batch", many(task(6, 1), 2))
+			time.Sleep(d * time.Millisecond)
+		}
+		c.planner().stop() // It resigns, and the other steps up at once.
+		c.await(12*time.Second, shop.Done, "a", "b", "c", "d")
+		c.once("a.0.0.0", "a.0.0.1", "b.0.0.0", "b.0.0.1", "c.0.0.0", "c.0.0.1", "d.0.0.0", "d.0.0.1")
+	})
+}
+
+// A planner that is told to stop sends what it has claimed before it resigns, at
+// whatever moment of a job's start the stop comes.
+func TestAStoppingPlannerSendsWhatItHasClaimed(t *testing.T) {
+	for at := time.Duration(0); at < 40*time.Millisecond; at += 3 * time.Millisecond {
+		virtually(t, func(t *testing.T) {
+			c := newCluster(t, 2, 3)
+			time.Sleep(3 * time.Second)
+			c.submit("a", "red", "batch", many(task(2, 1), 4))
+			time.Sleep(at)
+			c.planner().stop()
+			c.await(4*time.Second, shop.Done, "a")
+			for _, run := range c.judge.begun {
+				if !strings.HasSuffix(run, "/1") {
+					t.Errorf("stopped %v after the job was accepted: run %s began, want only first runs", at, run)
+				}
+			}
+		})
+	}
+}
+
+// Of many entries that see the planner resign, one steps up.
+func TestOneStandbyStepsUp(t *testing.T) {
+	virtually(t, func(t *testing.T) {
+		c := newCluster(t, 12, 3)
+		time.Sleep(3 * time.Second)
+		for range 3 {
+			before := c.planners()
+			c.planner().stop()
+			time.Sleep(2 * time.Second)
+			if n := c.planners() - before; n != 2 { // That it resigned, and that another stepped up.
+				t.Errorf("%d planner records when one resigned, want 2", n)
+			}
+		}
+	})
+}
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -4,10 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"sniperill.example/sniperill/internal/clock"
@@ -23,8 +24,8 @@
 	silence = 1800 * time.Millisecond
 	// beatInterval is how often a planner says that it is alive.
 	beatInterval = 500 * time.Millisecond
-	// stepUpJitter spreads candidates, so that mostly one steps up.
-	stepUpJitter = 200 * time.Millisecond
+	// stepUpGap is how much longer the next in line waits; stepping up takes some 30 ms.
+	stepUpGap = 100 * time.Millisecond
 	// candidateTick is how often a standby looks at what it has seen.
 	candidateTick = 50 * time.Millisecond
 	// freshContact is the age of the newest complete read with which a candidate may step up.
@@ -142,12 +143,29 @@
 	return clock.Since(max(p.sighted, quiet)) > silence
 }
 
+// rank returns the process's place in the line of those that may follow a planner. It
+// differs from one to the next, so that an entry that is gone delays only some.
+func (p *Planner) rank(epoch int64) int {
+	own := standing(p.Name, epoch)
+	n := 0
+	for _, e := range p.Ledger.Entries() {
+		if e.Name != p.Name && standing(e.Name, epoch) < own {
+			n++
+		}
+	}
+	return n
+}
+
+func standing(name string, epoch int64) uint64 {
+	return xxhash.Sum64String(name + "/" + strconv.FormatInt(epoch, 10))
+}
+
 // serve steps up and plans until deposed or ctx ends.
 func (p *Planner) serve(ctx context.Context) error {
-	if err := clock.Pause(ctx, rand.N(stepUpJitter)); err != nil {
+	before, _ := p.Ledger.Planner()
+	if err := clock.Pause(ctx, stepUpGap*time.Duration(p.rank(before.Epoch))); err != nil {
 		return err
 	}
-	before, _ := p.Ledger.Planner()
 	if err := p.Follower.Refresh(ctx); err != nil {
 		return fmt.Errorf("dispatch.Planner: read before stepping up: %w", err)
 	}
@@ -161,9 +179,9 @@
 	r := p.newReign(offset + 1)
 	p.Log.Info().Int64("epoch", r.epoch).Str("before", before.Name).Int64("epoch_before", before.Epoch).
 		Msg("Stepping up as the planner.")
-	ctx, stop := context.WithCancel(ctx)
-	defer stop()
-	r.depose = stop
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	r.depose = func() { stop(errDeposed) }
 	p.mu.Lock()
 	p.reign = r
 	p.mu.Unlock()
--- a/internal/dispatch/reign.go
+++ b/internal/dispatch/reign.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -19,6 +20,8 @@
 	passInterval = 100 * time.Millisecond
 	// gather is how long a pass waits for more events, so that one append carries them.
 	gather = 3 * time.Millisecond
+	// drainTimeout bounds the wait of a stopping planner for the answers to its orders.
+	drainTimeout = 400 * time.Millisecond
 	// resignTimeout bounds the append by which a stopping planner resigns.
 	resignTimeout = 500 * time.Millisecond
 )
@@ -40,8 +43,8 @@
 	members map[string]*member // By task.
 	beaten  clock.Instant      // When the last beat was written.
 
-	group *errgroup.Group
-	ctx   context.Context //nolint:containedctx // The reign's own; workers that join later run in it.
+	group errgroup.Group
+	ctx   context.Context //nolint:containedctx // Of the calls to agents; those that join later run in it.
 }
 
 func (p *Planner) newReign(epoch int64) *reign {
@@ -81,19 +84,48 @@
 
 // run fences older planners, learns the state, and plans until ctx ends.
 func (r *reign) run(ctx context.Context) error {
-	r.group, r.ctx = errgroup.WithContext(ctx)
-	writing, stopWriting := context.WithCancel(context.WithoutCancel(ctx))
-	defer stopWriting()
-	r.group.Go(func() error { return r.writer.Run(writing) })
+	// Calls outlive ctx, so that a planner that is told to stop can finish what it began.
+	calls, stop := context.WithCancel(context.WithoutCancel(ctx))
+	r.ctx = calls
 	r.group.Go(func() error {
-		defer stopWriting()
-		err := r.reign(r.ctx)
-		if ctx.Err() != nil {
-			r.resign(writing)
+		if err := r.writer.Run(calls); !errors.Is(err, context.Canceled) {
+			return err
 		}
-		return err
+		return nil
 	})
-	return r.group.Wait()
+	err := r.reign(ctx)
+	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeposed) {
+		r.drain(calls)
+		r.resign(calls)
+	}
+	stop()
+	if failed := r.group.Wait(); failed != nil {
+		return failed
+	}
+	return err
+}
+
+// drain waits until all that was claimed has been sent.
+func (r *reign) drain(ctx context.Context) {
+	for end := clock.Now().Add(drainTimeout); clock.Now() < end; {
+		if r.unsent() == 0 || clock.Pause(ctx, gather) != nil {
+			return
+		}
+	}
+	r.Log.Warn().Int("tasks", r.unsent()).Msg("Stopped before all claimed runs were sent.")
+}
+
+// unsent counts the runs whose start has not been answered.
+func (r *reign) unsent() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, m := range r.members {
+		if m.status == starting {
+			n++
+		}
+	}
+	return n
 }
 
 func (r *reign) reign(ctx context.Context) error {
@@ -198,8 +230,8 @@
 	records, stored := r.collect()
 	r.mu.Unlock()
 	if len(records) > 0 {
-		if _, err := r.writer.Add(ctx, records...); err != nil {
-			return fmt.Errorf("dispatch.Planner: %w", err)
+		if err := r.store(ctx, records); err != nil {
+			return err
 		}
 	}
 	r.mu.Lock()
@@ -218,6 +250,22 @@
 	return nil
 }
 
+// store appends what a pass decided. When ctx ends meanwhile, it waits a little longer,
+// as what was claimed may already be in the journal.
+func (r *reign) store(ctx context.Context, records []journal.Record) error {
+	storing, cancel := context.WithCancel(r.ctx)
+	defer cancel()
+	defer context.AfterFunc(ctx, func() {
+		if errors.Is(context.Cause(ctx), errDeposed) || clock.Pause(storing, drainTimeout) == nil {
+			cancel()
+		}
+	})()
+	if _, err := r.writer.Add(storing, records...); err != nil {
+		return fmt.Errorf("dispatch.Planner: %w", err)
+	}
+	return nil
+}
+
 // takeChanges takes in the ledger's changes since the last pass.
 func (r *reign) takeChanges() {
 	for _, a := range r.joined {
--- a/internal/host/handler.go
+++ b/internal/host/handler.go
@@ -100,7 +100,7 @@
 	if h.beat.Draining {
 		out.Worker.DrainLeft = durationpb.New(max(0, h.drainUntil.Sub(now)))
 	}
-	for _, r := range h.running {
+	for _, r := range h.runs() {
 		out.Running = append(out.Running, &pb.RunningTask{
 			Task: r.Task, Run: int64(r.Run), Checkpoint: r.Checkpoint, Percent: int64(r.Percent),
 		})
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -43,12 +45,19 @@
 	unreachable bool
 	looked      clock.Instant // When the look whose list of running tasks is kept was sent.
 	running     []Running
-	ended       []Ended // Not stored yet, by number.
-	stored      uint64  // The planner has stored ends up to this number.
+	started     map[string]startedRun // Runs that may be newer than that look, by task.
+	ended       []Ended               // Not stored yet, by number.
+	stored      uint64                // The planner has stored ends up to this number.
 	over        []string
 	lease       lease
 }
 
+// startedRun is a run that the worker has begun on this agent's order.
+type startedRun struct {
+	run int
+	at  clock.Instant
+}
+
 // Beat takes in what the worker announces. A beat that was overtaken changes nothing.
 func (h *Host) Beat(b Beat) {
 	h.mu.Lock()
@@ -106,7 +115,7 @@
 
 // forget drops what the last lifetime showed. The caller holds the lock.
 func (h *Host) forget() {
-	h.running, h.ended, h.stored, h.looked = nil, nil, 0, 0
+	h.running, h.started, h.ended, h.stored, h.looked = nil, nil, nil, 0, 0
 	h.lease.reset()
 }
 
@@ -219,6 +228,8 @@
 		h.looked = sent
 		notable = notable || differ(h.running, look.Running)
 		h.running = look.Running
+		// A look that was sent later than a start shows the run, or it has ended.
+		maps.DeleteFunc(h.started, func(_ string, s startedRun) bool { return s.at < sent })
 	}
 	if h.merge(look.Ended) || notable {
 		h.change()
@@ -233,6 +244,29 @@
 	return ErrOtherLifetime
 }
 
+// noteStarted takes in that the worker has begun a run. The newest look doesn't show it.
+func (h *Host) noteStarted(task string, run int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.started == nil {
+		h.started = make(map[string]startedRun)
+	}
+	h.started[task] = startedRun{run, clock.Now()}
+}
+
+// runs returns what runs by the newest look and the starts since. The caller holds the lock.
+func (h *Host) runs() []Running {
+	out := slices.Clone(h.running)
+	for task, s := range h.started {
+		same := func(r Running) bool { return r.Task == task && r.Run == s.run }
+		gone := func(e Ended) bool { return e.Task == task && e.Run == s.run }
+		if !slices.ContainsFunc(out, same) && !slices.ContainsFunc(h.ended, gone) {
+			out = append(out, Running{Task: task, Run: s.run})
+		}
+	}
+	return out
+}
+
 // merge adds ends that are new. The caller holds the lock.
 func (h *Host) merge(ended []Ended) bool {
 	last := h.stored
--- a/internal/host/orders.go
+++ b/internal/host/orders.go
@@ -43,6 +43,7 @@
 		err := h.startOnce(ctx, order)
 		switch {
 		case err == nil:
+			h.noteStarted(order.Task, order.Run)
 			result.Outcome = pb.Outcome_OUTCOME_STARTED
 			return result
 		case errors.Is(err, ErrRefused), errors.Is(err, ErrOtherLifetime), errors.Is(err, ErrUnhealthy), errors.Is(err, ErrFenced):
