--- a/cmd/sniperill/main.go
+++ b/cmd/sniperill/main.go
@@ -73,7 +73,7 @@
 			entryCommand(), agentCommand(), standInCommand(), checkCommand(), keysCommand(),
 			applyCommand(), diffCommand(), changeCommand(), showCommand(), drainCommand(),
 			submitCommand(), waitCommand(), cancelCommand(), callCommand(),
-			platformCommand(),
+			platformCommand(), explainCommand(),
 		},
 	}
 }
--- a/cmd/sniperill/platform.go
+++ b/cmd/sniperill/platform.go
@@ -46,6 +46,7 @@
 			}
 			log, out := platform.NewLogger(os.Stdout)
 			defer out.Close()
+			log = log.With().Str("process", s.Name).Logger()
 			ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
 			go reloadSettings(ctx, log)
--- a/internal/schedule/evict.go
+++ b/internal/schedule/evict.go
@@ -8,6 +8,10 @@
 	"sniperill.example/sniperill/pkg/workflow"
 )
 
+// urgentPrice is what evicting urgent work costs, in times its own run time: it would
+// miss its objective, which is worth four times its work to the users.
+const urgentPrice = 4
+
 // trial is a set of running units whose room is taken for free.
 type trial struct {
 	*planner
@@ -42,8 +46,12 @@
 		if r.Stopping || p.stopped[running] || !p.yields(r, w) {
 			return 0, false
 		}
+		price := r.Lost + restartCost
+		if r.Priority == 0 {
+			price += urgentPrice * r.Step.Estimate
+		}
 		cores := time.Duration(len(r.Workers)*r.Step.Cores()) / 1000
-		return (r.Lost + restartCost) * max(1, cores), true
+		return price * max(1, cores), true
 	})
 }
 
--- a/internal/schedule/plan_test.go
+++ b/internal/schedule/plan_test.go
@@ -130,3 +130,21 @@
 		})
 	}
 }
+
+// Urgent work that has only just started has lost little, and yet it is the last that
+// should give way: it would be late, while batch work has slack.
+func TestBatchWorkGivesWayBeforeUrgentWork(t *testing.T) {
+	s := step(8)
+	batch, urgent := running("other", 1, s, 0), running("greedy", 0, s, 1)
+	batch.Lost, urgent.Lost = 5*time.Second, 0
+	w := waits(s, 1)
+	w.Team, w.Priority = "owner", 0
+	v := &schedule.View{
+		Now: epoch, Workers: fleet(2), Beside: make([]map[int]int, 1),
+		Running: []schedule.Running{batch, urgent}, Waiting: []schedule.Waiting{w},
+		Guaranteed: map[string]int{"owner": 8},
+	}
+	if diff := cmp.Diff([]schedule.Stop{{Running: 0, For: 0}}, schedule.Next(v).Stops); diff != "" {
+		t.Errorf("stops (-want +got):\n%s", diff)
+	}
+}
--- /dev/null
+++ b/internal/story/story.go
@@ -0,0 +1,192 @@
+package story
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Story is the lines about one job or request, in order, with what happened around it.
+type Story struct {
+	ID    string
+	Lines []Line
+	// Around are lines on dependencies, planners and workers within the job's time.
+	Around []Line
+	Causes []string
+}
+
+// margin is how long before the first line about a job others may still explain it.
+const margin = 5 * time.Second
+
+// around are the messages that may explain what happened to a job at the same time.
+var around = []string{
+	"Lost the store for writing.", "The store takes writes again.", "Lost the journal.", "Reading the journal again.",
+	"Stepping up as the planner.", "Stopped planning.", "Resigned as the planner.", "Lost an agent.", "An agent is back.",
+	"The worker doesn't answer.", "The worker answers again.", "The worker's lifetime is over.", "The worker is draining.",
+	"A worker fails the jobs of others; it gets none for a while.", "A configuration is in force.",
+	"Starting an entry.", "Stopped an entry.", "Starting an agent.", "Stopped an agent.",
+}
+
+// Tell finds the lines about a job or request. Times of several machines are compared
+// as they are; their clocks may differ by some milliseconds.
+func Tell(lines []Line, id string) Story {
+	s := Story{ID: id}
+	for _, l := range lines {
+		if l.About(id) {
+			s.Lines = append(s.Lines, l)
+		}
+	}
+	if len(s.Lines) == 0 {
+		return s
+	}
+	byTime := func(a, b Line) int { return a.Time.Compare(b.Time) }
+	slices.SortStableFunc(s.Lines, byTime)
+	first, last := s.Lines[0].Time.Add(-margin), s.Lines[len(s.Lines)-1].Time
+	for _, l := range lines {
+		if !l.Time.Before(first) && !l.Time.After(last) && slices.Contains(around, l.Message) {
+			s.Around = append(s.Around, l)
+		}
+	}
+	slices.SortStableFunc(s.Around, byTime)
+	s.Causes = s.causes()
+	return s
+}
+
+// named returns the lines with a message.
+func (s Story) named(message string) []Line {
+	var out []Line
+	for _, l := range s.Lines {
+		if l.Message == message {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+// causes says what made the job fail, wait or run again, as far as the lines tell.
+func (s Story) causes() []string {
+	var out []string
+	add := func(format string, args ...any) { out = append(out, fmt.Sprintf(format, args...)) }
+	for _, l := range s.named("A call could not be written.") {
+		what := "refused as not run: the store took no writes"
+		if l.Text("not_run") != "true" {
+			what = "answered as not known: the store gave no answer to the write"
+		}
+		add("%s at %s (%s)", what, l.Process, l.Text("error"))
+	}
+	for _, l := range s.named("Answered a call.") {
+		switch status := l.Text("status"); status {
+		case "401", "404", "400", "410", "413":
+			add("%s %s was answered %s: %s", l.Text("method"), l.Text("path"), status, l.Text("why"))
+		}
+	}
+	for _, l := range s.named("A run gives way.") {
+		if l.Text("job") == s.ID {
+			add("gave way to job %s", l.Text("for"))
+		}
+	}
+	ends := map[string]int{}
+	for _, l := range s.named("A run is over.") {
+		if why := l.Text("why"); why != "listed" {
+			ends[why]++
+		} else if n := l.Text("end"); n != "1" {
+			ends["it ended as "+endName(n)]++
+		}
+	}
+	for _, why := range sorted(ends) {
+		add("%d of its runs were over without being done: %s", ends[why], why)
+	}
+	for _, l := range s.named("A job has failed: a task has no attempts left.") {
+		add("task %s failed %s times, which is all that its queue allows", l.Text("task"), l.Text("failures"))
+	}
+	out = append(out, s.waits()...)
+	return slices.Compact(out)
+}
+
+// slowStart is the wait for a first start that is worth a word; a calm one takes 40 ms.
+const slowStart = 300 * time.Millisecond
+
+// waits says how long the first start took.
+func (s Story) waits() []string {
+	accepted, claimed := s.named("Accepted a job."), s.named("Claimed a run.")
+	if len(accepted) == 0 {
+		return nil
+	}
+	if len(claimed) == 0 {
+		return []string{"accepted and never claimed for a worker within these lines"}
+	}
+	wait := claimed[0].Time.Sub(accepted[0].Time)
+	if wait < slowStart {
+		return nil
+	}
+	return []string{"its first start came " + wait.String() + " after it was accepted"}
+}
+
+// endNames are how a run may end, by the number in the log.
+var endNames = []string{"unknown", "done", "failed", "stopped", "lapsed", "broken", "alone"}
+
+func endName(n string) string {
+	i, err := strconv.Atoi(n)
+	if err != nil || i < 0 || i >= len(endNames) {
+		return n
+	}
+	return endNames[i]
+}
+
+func sorted(m map[string]int) []string {
+	out := make([]string, 0, len(m))
+	for k := range m {
+		out = append(out, k)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// gap is the pause between two lines from which on it is pointed out.
+const gap = time.Second
+
+// String writes the story for people.
+func (s Story) String() string {
+	if len(s.Lines) == 0 {
+		return fmt.Sprintf("No line speaks of %s.\n", s.ID)
+	}
+	var b strings.Builder
+	all := append(slices.Clone(s.Lines), s.Around...)
+	slices.SortStableFunc(all, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	before := all[0].Time
+	for _, l := range all {
+		if pause := l.Time.Sub(before); pause >= gap {
+			fmt.Fprintf(&b, "             ... %v\n", pause.Round(time.Millisecond))
+		}
+		before = l.Time
+		mark := " "
+		if !l.About(s.ID) {
+			mark = "|"
+		}
+		fmt.Fprintf(&b, "%s %s %-16s %s%s\n", l.Time.UTC().Format("15:04:05.000"), mark, l.Process, l.Message, l.details())
+	}
+	b.WriteString("\n")
+	if len(s.Causes) == 0 {
+		b.WriteString("Nothing went wrong by these lines.\n")
+	}
+	for _, c := range s.Causes {
+		fmt.Fprintf(&b, "Cause: %s.\n", c)
+	}
+	return b.String()
+}
+
+// details writes the fields in a stable order.
+func (l Line) details() string {
+	names := make([]string, 0, len(l.Fields))
+	for n := range l.Fields {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	var b strings.Builder
+	for _, n := range names {
+		b.WriteString(" " + n + "=" + l.Text(n))
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/story/story_test.go
@@ -0,0 +1,74 @@
+package story_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"sniperill.example/sniperill/internal/story"
+)
+
+const logs = `
+ -4.97 entry-a {"level":"info","process":"entry-a","time":"2026-07-19T10:03:43.100Z","job":"aa11","team":"red","offset":36,"message":"Accepted a job."}
+not a log line
+{"level":"info","process":"entry-b","time":"2026-07-19T10:03:43.900Z","job":"aa11","run":1,"node":"worker-1","message":"Claimed a run."}
+{"level":"info","process":"worker-1","time":"2026-07-19T10:03:43.950Z","task":"aa11.0.0.0","run":1,"outcome":"OUTCOME_STARTED","message":"Ran an order."}
+{"level":"info","process":"entry-b","time":"2026-07-19T10:03:46.000Z","job":"aa11","for":"bb22","message":"A run gives way."}
+{"level":"warn","process":"worker-9","time":"2026-07-19T10:03:46.100Z","message":"The worker doesn't answer."}
+{"level":"info","process":"entry-b","time":"2026-07-19T10:03:46.200Z","task":"aa11.0.0.0","run":1,"end":3,"why":"listed","message":"A run is over."}
+{"level":"warn","process":"entry-a","time":"2026-07-19T10:03:47.000Z","job":"cc33","error":"store unavailable","not_run":true,"message":"A call could not be written."}
+{"broken
+`
+
+func TestTell(t *testing.T) {
+	lines, skipped, err := story.Read(strings.NewReader(logs))
+	if err != nil || skipped != 3 {
+		t.Fatalf("read: %d lines skipped, %v; want 3 and none", skipped, err)
+	}
+	tests := []struct {
+		id     string
+		lines  int
+		causes []string
+	}{
+		{"aa11", 5, []string{
+			"gave way to job bb22",
+			"1 of its runs were over without being done: it ended as stopped",
+			"its first start came 800ms after it was accepted",
+		}},
+		{"bb22", 1, nil},
+		{"cc33", 1, []string{"refused as not run: the store took no writes at entry-a (store unavailable)"}},
+		{"dd44", 0, nil},
+	}
+	for _, tt := range tests {
+		s := story.Tell(lines, tt.id)
+		if len(s.Lines) != tt.lines {
+			t.Errorf("%s: %d lines, want %d", tt.id, len(s.Lines), tt.lines)
+		}
+		if diff := cmp.Diff(tt.causes, s.Causes); diff != "" {
+			t.Errorf("%s: causes (-want +got):\n%s", tt.id, diff)
+		}
+	}
+}
+
+func TestStoryIsWrittenInOrder(t *testing.T) {
+	lines, _, err := story.Read(strings.NewReader(logs))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := `10:03:43.100   entry-a          Accepted a job. job=aa11 offset=36 team=red
+10:03:43.900   entry-b          Claimed a run. job=aa11 node=worker-1 run=1
+10:03:43.950   worker-1         Ran an order. outcome=OUTCOME_STARTED run=1 task=aa11.0.0.0
+             ... 2.05s
+10:03:46.000   entry-b          A run gives way. for=bb22 job=aa11
+10:03:46.100 | worker-9         The worker doesn't answer.
+10:03:46.200   entry-b          A run is over. end=3 run=1 task=aa11.0.0.0 why=listed
+
+Cause: gave way to job bb22.
+Cause: 1 of its runs were over without being done: it ended as stopped.
+Cause: its first start came 800ms after it was accepted.
+`
+	if diff := cmp.Diff(want, story.Tell(lines, "aa11").String()); diff != "" {
+		t.Errorf("story (-want +got):\n%s", diff)
+	}
+}
