--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -43,6 +43,7 @@
 	entries []*entry
 	agents  []*agent
 	judge   judge
+	specs   sync.Map // Of the submitted steps by job.
 	log     zerolog.Logger
 }
 
@@ -234,7 +235,7 @@
 		Dial: func(address string) sniperillv1connect.HostServiceClient { return link{e.agents, address} },
 	}
 	e.ledger.Sighted, e.ledger.Changed, e.ledger.Joined = planner.Sighted, planner.Changed, planner.Joined
-	e.desk = &intake.Desk{Ledger: e.ledger, Follower: follower, Writer: writer, Log: log}
+	e.desk = &intake.Desk{Ledger: e.ledger, Follower: follower, Writer: writer, Peers: c.peersOf(e), Log: log}
 	for _, a := range c.agents {
 		e.agents.set(a.name, a.host)
 	}
@@ -243,11 +244,7 @@
 	e.kill, e.stop = kill, stop
 	go follower.Run(running)
 	go writer.Run(running)
-	go func() {
-		if _, err := writer.Add(running, ledger.EntryRecord(ledger.Address{Name: name})); err != nil && running.Err() == nil {
-			c.t.Error(err)
-		}
-	}()
+	go register(running, writer, ledger.EntryRecord(ledger.Address{Name: name}))
 	go func() {
 		defer close(e.stopped)
 		_ = planner.Run(planning)
@@ -255,6 +252,19 @@
 	return e
 }
 
+// peersOf returns the other entries as one reaches them.
+func (c *cluster) peersOf(e *entry) func() []intake.Peer {
+	return func() []intake.Peer {
+		var out []intake.Peer
+		for _, o := range c.entries {
+			if o != e {
+				out = append(out, intake.Peer{Name: o.name, Client: intake.Handler{Desk: o.desk}})
+			}
+		}
+		return out
+	}
+}
+
 func (c *cluster) startAgent(name string, number int) *agent {
 	a := &agent{name: name}
 	a.executor = c.newExecutor(name, 1)
@@ -264,14 +274,19 @@
 		Store: c.store.Journal(), Producer: journal.Producer{Name: name, Epoch: 1}, Log: c.log,
 	}
 	go writer.Run(c.ctx)
-	go func() {
-		if _, err := writer.Add(c.ctx, ledger.AgentRecord(ledger.Address{Name: name, Address: name})); err != nil && c.ctx.Err() == nil {
-			c.t.Error(err)
-		}
-	}()
+	go register(c.ctx, writer, ledger.AgentRecord(ledger.Address{Name: name, Address: name}))
 	return a
 }
 
+// register writes a process's address, however long the store is away.
+func register(ctx context.Context, w *journal.Writer, r journal.Record) {
+	for {
+		if _, err := w.Add(ctx, r); err == nil || clock.Pause(ctx, 100*time.Millisecond) != nil {
+			return
+		}
+	}
+}
+
 func (c *cluster) newExecutor(name string, born int64) *standin.Executor {
 	return &standin.Executor{
 		Lifetime: host.Lifetime{ID: name, Born: born},
@@ -281,13 +296,13 @@
 			if err != nil {
 				c.t.Fatal(err)
 			}
-			for _, e := range c.entries {
-				if j, ok := e.ledger.Job(t.Job); ok {
-					return j.Spec.Steps[t.Step].Room, j.Spec.Steps[t.Step].Estimate
-				}
+			steps, ok := c.specs.Load(t.Job)
+			if !ok {
+				c.t.Errorf("task %s was started, and nobody submitted its job", task)
+				return workflow.Room{}, time.Second
 			}
-			c.t.Errorf("task %s was started, and no entry knows its job", task)
-			return workflow.Room{}, time.Second
+			step := steps.([]workflow.Step)[t.Step]
+			return step.Room, step.Estimate
 		},
 		Began: c.judge.began,
 	}
@@ -296,7 +311,7 @@
 // startHost starts the agent's process.
 func (c *cluster) startHost(a *agent, rack string) {
 	a.host = &host.Host{
-		Name: a.name, Worker: a.executor.Worker(), Life: fmt.Sprint(time.Now().UnixNano()),
+		Name: a.name, Worker: a.executor.Worker(), MaxLease: 10 * time.Second, Life: fmt.Sprint(time.Now().UnixNano()),
 		Log: c.log.With().Str("at", a.name).Logger(),
 	}
 	for _, e := range c.entries {
@@ -326,6 +341,7 @@
 }
 
 func (c *cluster) submitAt(e *entry, id, team, queue string, steps ...workflow.Step) error {
+	c.specs.Store(id, steps)
 	q, _ := c.rules.Queue(queue)
 	j := &workflow.Job{ID: id, Team: team, Queue: q, Steps: steps, Submitted: time.Now()}
 	if err := j.Validate().Err(); err != nil {
--- /dev/null
+++ b/internal/dispatch/desk_test.go
@@ -0,0 +1,66 @@
+package dispatch_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"sniperill.example/sniperill/internal/intake"
+	"sniperill.example/sniperill/internal/standin"
+	"sniperill.example/sniperill/pkg/shop"
+)
+
+// The platform's store may turn some machines away and serve the others.
+func TestAnEntryWithoutTheStorePassesCallsOn(t *testing.T) {
+	virtually(t, func(t *testing.T) {
+		c := newCluster(t, 3, 2)
+		time.Sleep(3 * time.Second)
+		cut := c.entries[1]
+		if p, _ := cut.ledger.Planner(); p.Name == cut.name {
+			cut = c.entries[0]
+		}
+		cut.cut.set(true)
+		for _, id := range []string{"first", "second"} { // The first finds out that the store is away.
+			begun := time.Now()
+			if err := c.submitAt(cut, id, "red", "batch", task(1, 1)); err != nil {
+				t.Errorf("submit %s at the entry that is cut off: %v", id, err)
+			}
+			if took := time.Since(begun); took > time.Second {
+				t.Errorf("submit %s took %v", id, took)
+			}
+			time.Sleep(time.Second)
+		}
+		if state, err := cut.desk.State(c.ctx, "second", "red"); err != nil || state != shop.Running && state != shop.Done {
+			t.Errorf("state at the entry that is cut off: %q, %v", state, err)
+		}
+		if _, err := cut.desk.State(c.ctx, "none", "red"); !errors.Is(err, shop.ErrNotFound) {
+			t.Errorf("state of no job: %v, want %v", err, shop.ErrNotFound)
+		}
+		if err := cut.desk.Cancel(c.ctx, "second", "red"); err != nil {
+			t.Errorf("cancel at the entry that is cut off: %v", err)
+		}
+		c.await(5*time.Second, shop.Done, "first")
+		c.once("first.0.0.0")
+	})
+}
+
+// A store that turns everybody away has done nothing: the refusal says so, at once.
+func TestWithoutAnyStoreJobsAreRefusedAtOnce(t *testing.T) {
+	virtually(t, func(t *testing.T) {
+		c := newCluster(t, 3, 2)
+		time.Sleep(3 * time.Second)
+		c.store.Break(standin.StoreBusy)
+		begun := time.Now()
+		if err := c.submitAt(c.entries[0], "a", "red", "batch", task(1, 1)); !errors.Is(err, intake.ErrUnavailable) {
+			t.Errorf("submit: %v, want %v", err, intake.ErrUnavailable)
+		}
+		if took := time.Since(begun); took > 100*time.Millisecond {
+			t.Errorf("the refusal took %v", took)
+		}
+		c.store.Break(standin.StoreSound)
+		time.Sleep(5 * time.Second)
+		if n := c.judge.count("a.0.0.0"); n != 0 {
+			t.Errorf("a refused job was started %d times", n)
+		}
+	})
+}
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -39,6 +39,7 @@
 		}
 		pause := min(longestQuarantine, firstQuarantine<<min(w.health.times, 4))
 		w.health.times++
+		quarantines.Inc()
 		w.health.failures = suspectFailures - 1 // One more failure is enough from now on.
 		w.closed = clock.Now().Add(pause)
 		r.Log.Warn().Str("node", w.name).Str("lifetime", w.lifetime).Dur("pause", pause).
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -81,6 +81,7 @@
 // over takes in that a member's run is over. End is zero when nothing is known of how.
 func (r *reign) over(m *member, end host.End, checkpoint string, why string) {
 	delete(r.members, m.task)
+	countEnd(end)
 	j := m.job
 	u := j.drop(m.key, m.index)
 	if checkpoint != "" {
--- /dev/null
+++ b/internal/dispatch/metrics.go
@@ -0,0 +1,36 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"sniperill.example/sniperill/internal/host"
+)
+
+var (
+	reigns        = metrics.NewCounter("sniperill_planner_reigns_total")
+	claims        = metrics.NewCounter("sniperill_planner_claims_total")
+	evictions     = metrics.NewCounter("sniperill_planner_evictions_total")
+	quarantines   = metrics.NewCounter("sniperill_planner_quarantines_total")
+	planDuration  = metrics.NewHistogram("sniperill_planner_plan_duration_seconds")
+	storeDuration = metrics.NewHistogram("sniperill_planner_store_duration_seconds")
+	waitDuration  = metrics.NewHistogram("sniperill_planner_wait_seconds")
+)
+
+// endNames are how runs end, as labels of a metric.
+var endNames = map[host.End]string{
+	0: "unknown", host.Done: "done", host.Failed: "failed", host.Stopped: "stopped",
+	host.Lapsed: "lapsed", host.Broken: "broken", host.Alone: "alone",
+}
+
+func countEnd(end host.End) {
+	metrics.GetOrCreateCounter(`sniperill_planner_runs_ended_total{end="` + endNames[end] + `"}`).Inc()
+}
+
+// timed measures how long f takes.
+func timed(h *metrics.Histogram, f func()) {
+	begun := time.Now()
+	f()
+	h.UpdateDuration(begun)
+}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -32,7 +32,9 @@
 	if len(view.Waiting) == 0 {
 		return nil
 	}
-	next := schedule.Next(view)
+	var next schedule.Plan
+	timed(planDuration, func() { next = schedule.Next(view) })
+	evictions.Add(len(next.Stops))
 	for _, s := range next.Stops {
 		u := p.running[s.Running]
 		w := p.waiting[s.For]
@@ -40,11 +42,11 @@
 			Dur("lost", view.Running[s.Running].Lost).Msg("A run gives way.")
 		r.haltUnit(u.job, u.key)
 	}
-	var claims []*member
+	var claimed []*member
 	for _, s := range next.Starts {
-		claims = append(claims, r.claim(p.waiting[s.Waiting], p, s.Workers)...)
+		claimed = append(claimed, r.claim(p.waiting[s.Waiting], p, s.Workers)...)
 	}
-	return claims
+	return claimed
 }
 
 // claim places a unit's next run.
@@ -66,14 +68,16 @@
 	waited := time.Since(live.ready)
 	live.ready = time.Time{}
 	live.started = clock.Now()
-	claims := make([]*member, 0, len(u.Members))
+	claims.Inc()
+	waitDuration.Update(waited.Seconds())
+	members := make([]*member, 0, len(u.Members))
 	for _, m := range u.Members {
-		claims = append(claims, r.addMember(w.job, w.key, m, u.Run, claimed))
+		members = append(members, r.addMember(w.job, w.key, m, u.Run, claimed))
 	}
 	r.Log.Info().Str("job", w.job.spec.ID).Int("occurrence", w.key.Occurrence).Int("step", w.key.Step).
-		Int("index", w.key.Index).Int("run", u.Run).Int("members", len(claims)).Str("node", u.Members[0].Node).
+		Int("index", w.key.Index).Int("run", u.Run).Int("members", len(members)).Str("node", u.Members[0].Node).
 		Dur("waited", waited).Msg("Claimed a run.")
-	return claims
+	return members
 }
 
 // view shows the planner's state to the schedule.
--- a/internal/dispatch/reign.go
+++ b/internal/dispatch/reign.go
@@ -141,6 +141,7 @@
 		return errDeposed
 	}
 	r.learn()
+	reigns.Inc()
 	r.Log.Info().Int64("epoch", r.epoch).Int("jobs", len(r.jobs)).Int("agents", len(r.workers)).
 		Int("tasks", len(r.members)).Msg("Planning.")
 	for {
@@ -226,7 +227,7 @@
 	r.mu.Lock()
 	r.takeChanges()
 	r.sweep()
-	claims := r.plan()
+	started := r.plan()
 	records, stored := r.collect()
 	r.mu.Unlock()
 	if len(records) > 0 {
@@ -236,7 +237,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, m := range claims {
+	for _, m := range started {
 		if m.status == claimed {
 			m.status = starting
 		}
@@ -260,7 +261,9 @@
 			cancel()
 		}
 	})()
-	if _, err := r.writer.Add(storing, records...); err != nil {
+	var err error
+	timed(storeDuration, func() { _, err = r.writer.Add(storing, records...) })
+	if err != nil {
 		return fmt.Errorf("dispatch.Planner: %w", err)
 	}
 	return nil
--- a/internal/host/handler.go
+++ b/internal/host/handler.go
@@ -5,9 +5,11 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/types/known/durationpb"
 
@@ -113,6 +115,11 @@
 	return out
 }
 
+// outcomeLabel returns an outcome as a label of a metric.
+func outcomeLabel(o pb.Outcome) string {
+	return strings.ToLower(strings.TrimPrefix(o.String(), "OUTCOME_"))
+}
+
 // Order starts and stops tasks.
 func (h *Host) Order(ctx context.Context, req *connect.Request[pb.OrderRequest]) (*connect.Response[pb.OrderResponse], error) {
 	m := req.Msg
@@ -135,6 +142,7 @@
 	_ = group.Wait() // The functions report by result and return no error.
 	results = append(results, stopped...)
 	for _, r := range results {
+		metrics.GetOrCreateCounter(`sniperill_agent_orders_total{outcome="` + outcomeLabel(r.GetOutcome()) + `"}`).Inc()
 		h.Log.Info().Str("task", r.GetTask()).Int64("run", r.GetRun()).Int64("epoch", m.GetEpoch()).
 			Str("lifetime", m.GetLifetime()).Stringer("outcome", r.GetOutcome()).Str("detail", r.GetDetail()).
 			Msg("Ran an order.")
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
 	"sniperill.example/sniperill/internal/clock"
@@ -26,10 +27,15 @@
 	maxOver = 32
 )
 
+// leaseLeft is how far in the future the granted lease ends at each look.
+var leaseLeft = metrics.NewHistogram("sniperill_agent_lease_left_seconds")
+
 // Host is the agent beside one worker. Set its fields before Run.
 type Host struct {
 	Name   string
 	Worker Worker
+	// MaxLease is the longest lease that a worker may be given.
+	MaxLease time.Duration
 	// Life tells lives of the agent apart.
 	Life string
 	Log  zerolog.Logger
@@ -155,6 +161,8 @@
 		}
 		_, err := h.look(ctx, hold)
 		switch {
+		case ctx.Err() != nil:
+			return ctx.Err() // The look was broken off here.
 		case err != nil:
 			h.noteUnreachable(err)
 			h.await(ctx, lookRetry)
@@ -218,7 +226,8 @@
 	if look.Lifetime != h.lifetime.String() {
 		return look, h.meet(look)
 	}
-	h.lease.show(look.Clock, clock.Now())
+	h.lease.show(look.Clock, clock.Now(), h.MaxLease)
+	leaseLeft.Update(max(0, h.lease.until.Sub(h.lease.shown)).Seconds())
 	notable := h.unreachable
 	if h.unreachable {
 		h.unreachable = false
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -49,7 +49,7 @@
 			return workflow.Room{Accelerators: 2}, time.Minute
 		},
 	}}
-	b.host = &host.Host{Name: "a", Worker: b.executor.Worker(), Life: "1"}
+	b.host = &host.Host{Name: "a", Worker: b.executor.Worker(), Life: "1", MaxLease: lease}
 	go b.host.Run(ctx)
 	b.host.Beat(b.executor.Beat("s", "r1-1", 1))
 	return b
@@ -208,3 +208,34 @@
 		}
 	})
 }
+
+// An agent that has restarted doesn't know how far its earlier life renewed the lease.
+// It must not take the lease of a worker that falls silent for lapsed before it has.
+func TestARestartedAgentDoesNotTakeALeaseForLapsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		b.follow(3 * time.Second)
+		b.start("j.0.0.0")
+		b.follow(time.Second)
+		ctx, stop := context.WithCancel(b.ctx)
+		defer stop()
+		b.host = &host.Host{Name: "a", Worker: b.executor.Worker(), Life: "2", MaxLease: lease}
+		go b.host.Run(ctx)
+		b.host.Beat(b.executor.Beat("s", "r1-1", 2))
+		if err := b.watch(); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(50 * time.Millisecond) // For one look, before the new life has been granted a lease.
+		b.executor.Silence(true)
+		for range 3 * int(lease/time.Second) {
+			b.follow(time.Second)
+			over, runs := len(b.newest.GetOver()) > 0, len(b.executor.Running()) > 0
+			if over && runs {
+				t.Fatal("the worker's lifetime is reported as over, and its task runs")
+			}
+		}
+		if len(b.newest.GetOver()) == 0 {
+			t.Error("the lease was never known to have lapsed")
+		}
+	})
+}
--- a/internal/host/lease.go
+++ b/internal/host/lease.go
@@ -43,8 +43,12 @@
 	}
 }
 
-// show takes in the worker's clock.
-func (l *lease) show(c time.Duration, now clock.Instant) {
+// show takes in the worker's clock. At the first time, an earlier life of the agent may
+// just have given the worker the longest lease.
+func (l *lease) show(c time.Duration, now clock.Instant, longest time.Duration) {
+	if l.shown == 0 {
+		l.longest = c + longest
+	}
 	l.clock, l.shown = c, now
 }
 
--- a/internal/intake/desk.go
+++ b/internal/intake/desk.go
@@ -4,10 +4,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/rs/zerolog"
 
 	"sniperill.example/sniperill/internal/clock"
@@ -15,6 +18,8 @@
 	"sniperill.example/sniperill/internal/ledger"
 	"sniperill.example/sniperill/pkg/shop"
 	"sniperill.example/sniperill/pkg/workflow"
+	pb "sniperill.example/sniperill/proto/sniperill/v1"
+	"sniperill.example/sniperill/proto/sniperill/v1/sniperillv1connect"
 )
 
 // What an answer may be instead of success.
@@ -33,7 +38,9 @@
 	Ledger   *ledger.Ledger
 	Follower *journal.Follower
 	Writer   *journal.Writer
-	Log      zerolog.Logger
+	// Peers returns other entries that may reach the store when this one can't.
+	Peers func() []Peer
+	Log   zerolog.Logger
 }
 
 // Current says whether the ledger has been read to its end lately.
@@ -56,6 +63,24 @@
 
 // Submit accepts a job once, whichever entry it is submitted to and however often.
 func (d *Desk) Submit(ctx context.Context, j *workflow.Job) error {
+	return d.do(ctx, call{
+		name: "submit", job: j.ID,
+		own: func(ctx context.Context) error { return d.submit(ctx, j) },
+		pass: func(ctx context.Context, peer sniperillv1connect.DeskServiceClient) (pb.DeskResult, error) {
+			data, err := json.Marshal(j)
+			if err != nil {
+				return pb.DeskResult_DESK_RESULT_UNAVAILABLE, err
+			}
+			resp, err := peer.Submit(ctx, connect.NewRequest(&pb.DeskSubmitRequest{Job: data}))
+			if err != nil {
+				return pb.DeskResult_DESK_RESULT_UNDECIDED, err
+			}
+			return resp.Msg.GetResult(), nil
+		},
+	})
+}
+
+func (d *Desk) submit(ctx context.Context, j *workflow.Job) error {
 	log := d.Log.Info().Str("job", j.ID).Str("team", j.Team).Str("queue", j.Queue.Name).Int("tasks", j.Tasks())
 	if known, ok := d.Ledger.Job(j.ID); ok {
 		log.Str("state", string(known.State())).Int64("offset", known.Accepted).Msg("A job was submitted again.")
@@ -63,8 +88,7 @@
 	}
 	offset, err := d.Writer.Add(ctx, ledger.JobRecord(j))
 	if err != nil {
-		err = d.failed("submit", j.ID, err)
-		return err
+		return d.failed("submit", j.ID, err)
 	}
 	log.Int64("offset", offset).Msg("Accepted a job.")
 	return nil
@@ -72,6 +96,37 @@
 
 // State returns a job's state, or shop.ErrNotFound when the journal doesn't have it.
 func (d *Desk) State(ctx context.Context, id, team string) (shop.JobState, error) {
+	var state shop.JobState
+	var mu sync.Mutex // Both ways may answer; the first that does counts.
+	keep := func(s shop.JobState) {
+		mu.Lock()
+		defer mu.Unlock()
+		if state == "" {
+			state = s
+		}
+	}
+	err := d.do(ctx, call{
+		name: "state", job: id,
+		own: func(ctx context.Context) error {
+			s, err := d.state(ctx, id, team)
+			keep(s)
+			return err
+		},
+		pass: func(ctx context.Context, peer sniperillv1connect.DeskServiceClient) (pb.DeskResult, error) {
+			resp, err := peer.State(ctx, connect.NewRequest(&pb.DeskStateRequest{Job: id, Team: team}))
+			if err != nil {
+				return pb.DeskResult_DESK_RESULT_UNAVAILABLE, err // A question has no effect.
+			}
+			keep(shop.JobState(resp.Msg.GetState()))
+			return resp.Msg.GetResult(), nil
+		},
+	})
+	mu.Lock()
+	defer mu.Unlock()
+	return state, err
+}
+
+func (d *Desk) state(ctx context.Context, id, team string) (shop.JobState, error) {
 	j, err := d.find(ctx, id, team)
 	if err != nil {
 		return "", err
@@ -81,6 +136,20 @@
 
 // Cancel cancels a job. One that has ended stays as it is.
 func (d *Desk) Cancel(ctx context.Context, id, team string) error {
+	return d.do(ctx, call{
+		name: "cancel", job: id,
+		own: func(ctx context.Context) error { return d.cancel(ctx, id, team) },
+		pass: func(ctx context.Context, peer sniperillv1connect.DeskServiceClient) (pb.DeskResult, error) {
+			resp, err := peer.Cancel(ctx, connect.NewRequest(&pb.DeskCancelRequest{Job: id, Team: team}))
+			if err != nil {
+				return pb.DeskResult_DESK_RESULT_UNDECIDED, err
+			}
+			return resp.Msg.GetResult(), nil
+		},
+	})
+}
+
+func (d *Desk) cancel(ctx context.Context, id, team string) error {
 	j, err := d.find(ctx, id, team)
 	if err != nil {
 		return err
--- a/internal/journal/follower.go
+++ b/internal/journal/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -27,20 +28,20 @@
 	Store Store
 	// Apply gets every record once, in order, or each key's newest after a reset.
 	Apply func(Record)
-	// Caught is called after each read that was applied; fresh says that it reached the end.
-	Caught func(fresh bool)
-	Wait   time.Duration // DefaultWait when zero.
+	Wait  time.Duration // DefaultWait when zero.
 	// Pace is the least time between two reads, so that busy journals cost fewer calls.
 	Pace time.Duration
 	Log  zerolog.Logger
 
-	mu       sync.Mutex
-	next     int64
-	loaded   bool
-	seen     map[string]int64 // The offset applied last, by key.
-	contact  clock.Instant    // When the newest answered read was sent.
-	complete clock.Instant    // When the newest read that reached the end was sent.
-	lost     bool
+	mu     sync.Mutex // Held while records are applied, so Apply must not wait for the follower.
+	next   int64
+	loaded bool
+	seen   map[string]int64 // The offset applied last, by key.
+	lost   bool
+
+	// Instants are read by those that hold locks which Apply may want.
+	contact  atomic.Int64 // When the newest answered read was sent.
+	complete atomic.Int64 // When the newest read that reached the end was sent.
 }
 
 // Run follows until ctx ends.
@@ -78,18 +79,10 @@
 }
 
 // Contact returns when the newest answered read was sent; zero before the first.
-func (f *Follower) Contact() clock.Instant {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.contact
-}
+func (f *Follower) Contact() clock.Instant { return clock.Instant(f.contact.Load()) }
 
 // Complete returns when the newest read that reached the end was sent; zero before the first.
-func (f *Follower) Complete() clock.Instant {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.complete
-}
+func (f *Follower) Complete() clock.Instant { return clock.Instant(f.complete.Load()) }
 
 func (f *Follower) position() (next int64, loaded bool) {
 	f.mu.Lock()
@@ -139,18 +132,14 @@
 	}
 	f.loaded = true
 	f.next = max(f.next, page.Next)
-	f.contact = max(f.contact, sent)
-	fresh := f.next >= page.End
-	if fresh {
-		f.complete = max(f.complete, sent)
+	f.contact.Store(max(f.contact.Load(), int64(sent)))
+	if f.next >= page.End {
+		f.complete.Store(max(f.complete.Load(), int64(sent)))
 	}
 	if f.lost {
 		f.lost = false
 		f.Log.Info().Int64("offset", f.next).Msg("Reading the journal again.")
 	}
-	if f.Caught != nil {
-		f.Caught(fresh)
-	}
 }
 
 func (f *Follower) noteLost(err error) {
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -70,19 +70,22 @@
 			"an answer is lost: the repeat changes nothing",
 			func(s *standin.Store) { s.LoseAnswers(1) },
 			0,
-			[]error{nil, nil}, []string{"k0", "k1"},
+			[]error{nil, nil},
+			[]string{"k0", "k1"},
 		},
 		{
 			"the store turns calls away: refused, and never written",
 			func(s *standin.Store) { s.Break(standin.StoreBusy) },
 			10 * time.Second,
-			[]error{journal.ErrUnavailable, journal.ErrUnavailable}, nil,
+			[]error{journal.ErrUnavailable, journal.ErrUnavailable},
+			nil,
 		},
 		{
 			"the store is silent: the first is undecided and comes later, the second is refused",
 			func(s *standin.Store) { s.Break(standin.StoreSilent) },
 			10 * time.Second,
-			[]error{journal.ErrUndecided, journal.ErrUnavailable}, []string{"k0"},
+			[]error{journal.ErrUndecided, journal.ErrUnavailable},
+			[]string{"k0"},
 		},
 	}
 	for _, tt := range tests {
--- a/internal/standin/executor.go
+++ b/internal/standin/executor.go
@@ -23,6 +23,8 @@
 	Need func(task string) (workflow.Room, time.Duration)
 	// Began is called with each run that begins to work.
 	Began func(task string, run int)
+	// Over is called with each run that is over, for as long as it truly ran.
+	Over func(ExecutorSpan)
 	// Slowness is how many times slower than true its clock is; 1 when zero.
 	Slowness float64
 
@@ -34,11 +36,22 @@
 	highest map[string]int // The highest run that ended or was stopped, by task.
 	ended   []host.Ended
 	number  uint64
+	seen    uint64
 	down    bool
 	silent  bool
 	failing bool
 }
 
+// ExecutorSpan is one stretch of time in which an executor truly ran a task.
+type ExecutorSpan struct {
+	Lifetime host.Lifetime
+	Task     string
+	Run      int
+	Number   uint64 // Of its end; zero when the executor crashed.
+	From, To clock.Instant
+	End      host.End
+}
+
 // run is a task that runs on an executor.
 type run struct {
 	number int
@@ -74,10 +87,21 @@
 func (e *Executor) Crash() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.advance()
+	for name, t := range e.running {
+		e.report(name, t, 0, host.Lapsed, clock.Now())
+	}
 	e.down = true
 	e.running = nil
 }
 
+// Seen returns the number up to which ends were acknowledged.
+func (e *Executor) Seen() uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.seen
+}
+
 // Silence lets the executor work on without answering, or answer again.
 func (e *Executor) Silence(silent bool) {
 	e.mu.Lock()
@@ -135,26 +159,39 @@
 	return d
 }
 
-// advance ends what has finished or lost its lease. The caller holds the lock.
+// advance ends what has finished or lost its lease, as of when it did. The caller holds the lock.
 func (e *Executor) advance() {
-	now := e.clock()
+	e.clock() // It sets the executor's birth.
+	now := clock.Now()
+	lapse := e.born.Add(time.Duration(float64(e.until) * max(1, e.Slowness)))
 	for name, t := range e.running {
+		done := t.begun.Add(t.needs)
+		if t.hung != 0 {
+			done = now + 1
+		}
 		switch {
-		case now > e.until:
-			e.end(name, t, host.Lapsed)
-		case t.worked() >= t.needs && e.failing:
-			e.end(name, t, host.Failed)
-		case t.worked() >= t.needs:
-			e.end(name, t, host.Done)
+		case done <= now && done <= lapse && e.failing:
+			e.end(name, t, host.Failed, done)
+		case done <= now && done <= lapse:
+			e.end(name, t, host.Done, done)
+		case lapse < now:
+			e.end(name, t, host.Lapsed, lapse)
 		}
 	}
 }
 
-func (e *Executor) end(name string, t *run, how host.End) {
+func (e *Executor) end(name string, t *run, how host.End, at clock.Instant) {
 	delete(e.running, name)
 	e.highest[name] = max(e.highest[name], t.number)
 	e.number++
 	e.ended = append(e.ended, host.Ended{Number: e.number, Task: name, Run: t.number, End: how})
+	e.report(name, t, e.number, how, at)
+}
+
+func (e *Executor) report(name string, t *run, number uint64, how host.End, at clock.Instant) {
+	if e.Over != nil {
+		e.Over(ExecutorSpan{e.Lifetime, name, t.number, number, t.begun, at, how})
+	}
 }
 
 // enter checks a call. The caller holds the lock.
@@ -189,13 +226,13 @@
 }
 
 func (e *Executor) hold(ctx context.Context, h host.Hold) (host.Look, error) {
-	if err := e.reach(ctx); err != nil {
-		return host.Look{}, err
-	}
 	deadline := time.NewTimer(h.Wait)
 	defer deadline.Stop()
 	const poll = 10 * time.Millisecond // Ends are noticed as late as this.
 	for {
+		if err := e.reach(ctx); err != nil {
+			return host.Look{}, err
+		}
 		look, err := e.look(h)
 		if err != nil || len(look.Ended) > 0 || h.Wait == 0 {
 			return look, err
@@ -217,6 +254,7 @@
 		return host.Look{}, err
 	}
 	e.until = max(e.until, h.Until)
+	e.seen = max(e.seen, h.Seen)
 	e.ended = slices.DeleteFunc(e.ended, func(o host.Ended) bool { return o.Number <= h.Seen })
 	look := host.Look{Lifetime: e.Lifetime.String(), Clock: e.clock(), Ended: slices.Clone(e.ended)}
 	for name, t := range e.running {
@@ -271,7 +309,7 @@
 	}
 	e.highest[s.Task] = max(e.highest[s.Task], s.Run)
 	if t, ok := e.running[s.Task]; ok && t.number <= s.Run {
-		e.end(s.Task, t, host.Stopped)
+		e.end(s.Task, t, host.Stopped, clock.Now())
 	}
 	return nil
 }
