--- a/internal/dispatch/chaos_test.go
+++ b/internal/dispatch/chaos_test.go
@@ -119,7 +119,7 @@
 	noted := func(s standin.ExecutorSpan) bool {
 		for _, e := range c.executors {
 			if e.Lifetime == s.Lifetime {
-				return s.Number != 0 && s.Number <= e.Seen()
+				return e.Noted(s.Number)
 			}
 		}
 		return false
--- a/internal/standin/executor.go
+++ b/internal/standin/executor.go
@@ -37,6 +37,8 @@
 	ended   []host.Ended
 	number  uint64
 	seen    uint64
+	noted   map[uint64]bool // Ends that were acknowledged in time.
+	forgot  uint64          // Ends up to this number were listed before the lease lapsed.
 	down    bool
 	silent  bool
 	failing bool
@@ -95,11 +97,12 @@
 	e.running = nil
 }
 
-// Seen returns the number up to which ends were acknowledged.
-func (e *Executor) Seen() uint64 {
+// Noted says whether an end was acknowledged before the executor's lease lapsed: what is
+// acknowledged later counts as not known, as the task may run elsewhere by then.
+func (e *Executor) Noted(number uint64) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.seen
+	return number != 0 && e.noted[number]
 }
 
 // Silence lets the executor work on without answering, or answer again.
@@ -164,6 +167,11 @@
 	e.clock() // It sets the executor's birth.
 	now := clock.Now()
 	lapse := e.born.Add(time.Duration(float64(e.until) * max(1, e.Slowness)))
+	defer func() {
+		if lapse < now {
+			e.forgot = e.number
+		}
+	}()
 	for name, t := range e.running {
 		done := t.begun.Add(t.needs)
 		if t.hung != 0 {
@@ -247,14 +255,25 @@
 	}
 }
 
+// acknowledge takes in up to which number ends are known. The caller holds the lock.
+func (e *Executor) acknowledge(seen uint64) {
+	if e.noted == nil {
+		e.noted = make(map[uint64]bool)
+	}
+	for n := e.seen + 1; n <= seen; n++ {
+		e.noted[n] = n > e.forgot
+	}
+	e.seen = max(e.seen, seen)
+}
+
 func (e *Executor) look(h host.Hold) (host.Look, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if err := e.enter(h.Lifetime, h.Epoch); err != nil {
 		return host.Look{}, err
 	}
+	e.acknowledge(h.Seen)
 	e.until = max(e.until, h.Until)
-	e.seen = max(e.seen, h.Seen)
 	e.ended = slices.DeleteFunc(e.ended, func(o host.Ended) bool { return o.Number <= h.Seen })
 	look := host.Look{Lifetime: e.Lifetime.String(), Clock: e.clock(), Ended: slices.Clone(e.ended)}
 	for name, t := range e.running {
