--- a/internal/dispatch/desk_test.go
+++ b/internal/dispatch/desk_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -64,3 +65,27 @@
 		}
 	})
 }
+
+// While the store is silent for everybody, one write per entry is open and its caller
+// can't be told. Whoever comes later is refused at once, and truthfully: passing a call
+// on to a peer that has no store either would leave its outcome open, too.
+func TestAnOutageLeavesFewOutcomesOpen(t *testing.T) {
+	virtually(t, func(t *testing.T) {
+		c := newCluster(t, 3, 2)
+		time.Sleep(3 * time.Second)
+		c.store.Break(standin.StoreSilent)
+		for i, e := range c.entries {
+			go func() { _ = c.submitAt(e, fmt.Sprint("open", i), "red", "batch", task(1, 1)) }()
+		}
+		time.Sleep(2500 * time.Millisecond) // Reads have been given up by now.
+		for i, e := range c.entries {
+			begun := time.Now()
+			if err := c.submitAt(e, fmt.Sprint("late", i), "red", "batch", task(1, 1)); !errors.Is(err, intake.ErrUnavailable) {
+				t.Errorf("submit at %s: %v, want %v", e.name, err, intake.ErrUnavailable)
+			}
+			if took := time.Since(begun); took > 100*time.Millisecond {
+				t.Errorf("the refusal at %s took %v", e.name, took)
+			}
+		}
+	})
+}
--- a/internal/dispatch/path_test.go
+++ b/internal/dispatch/path_test.go
@@ -138,3 +138,22 @@
 		}
 	})
 }
+
+// The progress of a worker that doesn't answer is not known; its tasks don't stand still.
+func TestASilentWorkersTasksAreLeftAlone(t *testing.T) {
+	virtually(t, func(t *testing.T) {
+		c := newCluster(t, 2, 2)
+		time.Sleep(3 * time.Second)
+		c.submit("a", "red", "batch", many(task(8, 8), 2))
+		time.Sleep(time.Second)
+		for _, a := range c.agents {
+			a.executor.Silence(true)
+		}
+		time.Sleep(4500 * time.Millisecond)
+		for _, a := range c.agents {
+			a.executor.Silence(false)
+		}
+		c.await(6*time.Second, shop.Done, "a")
+		c.once("a.0.0.0", "a.0.0.1")
+	})
+}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -28,6 +28,9 @@
 	if w.lifetime == "" || !m.GetLooked() {
 		return
 	}
+	if w.silent {
+		r.forgetProgress(w)
+	}
 	r.takeRunning(w, m.GetRunning())
 	for _, e := range m.GetEnded() {
 		r.takeEnd(w, e)
@@ -57,6 +60,15 @@
 	}
 }
 
+// forgetProgress takes in that nothing is known of how a worker's tasks get on.
+func (r *reign) forgetProgress(w *worker) {
+	for _, m := range r.members {
+		if m.worker == w {
+			m.moved = clock.Now()
+		}
+	}
+}
+
 // saveCheckpoint keeps a running task's newest checkpoint; it is stored with the next
 // change of the job.
 func (r *reign) saveCheckpoint(m *member, checkpoint string) {
--- a/internal/intake/desk.go
+++ b/internal/intake/desk.go
@@ -41,6 +41,8 @@
 	// Peers returns other entries that may reach the store when this one can't.
 	Peers func() []Peer
 	Log   zerolog.Logger
+
+	silent sync.Map // When a peer didn't answer last, by name.
 }
 
 // Current says whether the ledger has been read to its end lately.
--- a/internal/intake/peers.go
+++ b/internal/intake/peers.go
@@ -10,6 +10,7 @@
 
 	"connectrpc.com/connect"
 
+	"sniperill.example/sniperill/internal/clock"
 	"sniperill.example/sniperill/pkg/shop"
 	"sniperill.example/sniperill/pkg/workflow"
 	pb "sniperill.example/sniperill/proto/sniperill/v1"
@@ -22,8 +23,12 @@
 	hedgeAfter = 500 * time.Millisecond
 	// peerTimeout bounds a call to a peer, which may have to wait for its own write.
 	peerTimeout = 700 * time.Millisecond
-	// maxPeers bounds the peers that are asked for one call.
-	maxPeers = 2
+	// probeTimeout bounds the question whether a peer reaches the store; it takes 2 ms.
+	probeTimeout = 150 * time.Millisecond
+	// maxProbes bounds the peers that are asked that for one call.
+	maxProbes = 3
+	// silentPause is how long a peer that didn't answer is left out.
+	silentPause = 3 * time.Second
 )
 
 // call is a caller's request in three forms: made here, and passed on to a peer.
@@ -65,26 +70,52 @@
 	}
 }
 
-// passOn asks peers in turn. Err is what the call came to here.
+// passOn makes the call at a peer that reaches the store, if there is one. Err is what
+// the call came to here.
 func (d *Desk) passOn(ctx context.Context, c call, err error) error {
-	for i, peer := range d.Peers() {
-		if i == maxPeers || ctx.Err() != nil {
+	peer, ok := d.readyPeer(ctx)
+	if !ok {
+		return err
+	}
+	result, failed := d.ask(ctx, c, peer)
+	d.Log.Info().Str("job", c.job).Str("call", c.name).Str("peer", peer.Name).Stringer("result", result).
+		AnErr("failed", failed).AnErr("own", err).Msg("Passed a call on.")
+	switch result {
+	case pb.DeskResult_DESK_RESULT_DONE:
+		return nil
+	case pb.DeskResult_DESK_RESULT_NOT_FOUND:
+		return fmt.Errorf("intake.Desk: job %q: %w", c.job, shop.ErrNotFound)
+	case pb.DeskResult_DESK_RESULT_UNAVAILABLE:
+		return err
+	default:
+		return fmt.Errorf("intake.Desk: %s at %s: %w: %w", c.name, peer.Name, ErrUndecided, failed)
+	}
+}
+
+// readyPeer returns a peer that says that it reaches the store. To pass a call on to
+// another would make a refusal that is certain into an outcome that nobody knows.
+func (d *Desk) readyPeer(ctx context.Context) (Peer, bool) {
+	probes := 0
+	for _, peer := range d.Peers() {
+		if since, ok := d.silent.Load(peer.Name); ok && clock.Since(since.(clock.Instant)) < silentPause {
+			continue
+		}
+		if probes++; probes > maxProbes || ctx.Err() != nil {
 			break
 		}
-		result, failed := d.ask(ctx, c, peer)
-		d.Log.Info().Str("job", c.job).Str("call", c.name).Str("peer", peer.Name).Stringer("result", result).
-			AnErr("failed", failed).AnErr("own", err).Msg("Passed a call on.")
-		switch result {
-		case pb.DeskResult_DESK_RESULT_DONE:
-			return nil
-		case pb.DeskResult_DESK_RESULT_NOT_FOUND:
-			return fmt.Errorf("intake.Desk: job %q: %w", c.job, shop.ErrNotFound)
-		case pb.DeskResult_DESK_RESULT_UNAVAILABLE:
-		default:
-			err = fmt.Errorf("intake.Desk: %s at %s: %w: %w", c.name, peer.Name, ErrUndecided, failed)
+		probe, cancel := context.WithTimeout(ctx, probeTimeout)
+		resp, err := peer.Client.Ready(probe, connect.NewRequest(&pb.DeskReadyRequest{}))
+		cancel()
+		if err != nil {
+			d.silent.Store(peer.Name, clock.Now())
+			d.Log.Warn().Err(err).Str("peer", peer.Name).Msg("A peer doesn't answer.")
+			continue
+		}
+		if resp.Msg.GetReady() {
+			return peer, true
 		}
 	}
-	return err
+	return Peer{}, false
 }
 
 // ask makes the call at one peer.
@@ -121,6 +152,11 @@
 	}
 }
 
+// Ready says whether the entry reaches the store.
+func (h Handler) Ready(context.Context, *connect.Request[pb.DeskReadyRequest]) (*connect.Response[pb.DeskReadyResponse], error) {
+	return connect.NewResponse(&pb.DeskReadyResponse{Ready: h.Desk.Current() && h.Desk.Writer.Away() == 0}), nil
+}
+
 // Submit accepts a job.
 func (h Handler) Submit(ctx context.Context, r *connect.Request[pb.DeskSubmitRequest]) (*connect.Response[pb.DeskSubmitResponse], error) {
 	var j workflow.Job
--- a/proto/sniperill/v1/sniperillv1connect/desk.connect.go
+++ b/proto/sniperill/v1/sniperillv1connect/desk.connect.go
@@ -33,6 +33,8 @@
 // reflection-formatted method names, remove the leading slash and convert the remaining slash to a
 // period.
 const (
+	// DeskServiceReadyProcedure is the fully-qualified name of the DeskService's Ready RPC.
+	DeskServiceReadyProcedure = "/sniperill.v1.DeskService/Ready"
 	// DeskServiceSubmitProcedure is the fully-qualified name of the DeskService's Submit RPC.
 	DeskServiceSubmitProcedure = "/sniperill.v1.DeskService/Submit"
 	// DeskServiceStateProcedure is the fully-qualified name of the DeskService's State RPC.
@@ -43,6 +45,8 @@
 
 // DeskServiceClient is a client for the sniperill.v1.DeskService service.
 type DeskServiceClient interface {
+	// Ready says whether the entry reaches the store.
+	Ready(context.Context, *connect.Request[v1.DeskReadyRequest]) (*connect.Response[v1.DeskReadyResponse], error)
 	Submit(context.Context, *connect.Request[v1.DeskSubmitRequest]) (*connect.Response[v1.DeskSubmitResponse], error)
 	State(context.Context, *connect.Request[v1.DeskStateRequest]) (*connect.Response[v1.DeskStateResponse], error)
 	Cancel(context.Context, *connect.Request[v1.DeskCancelRequest]) (*connect.Response[v1.DeskCancelResponse], error)
@@ -59,6 +63,12 @@
 	baseURL = strings.TrimRight(baseURL, "/")
 	deskServiceMethods := v1.File_sniperill_v1_desk_proto.Services().ByName("DeskService").Methods()
 	return &deskServiceClient{
+		ready: connect.NewClient[v1.DeskReadyRequest, v1.DeskReadyResponse](
+			httpClient,
+			baseURL+DeskServiceReadyProcedure,
+			connect.WithSchema(deskServiceMethods.ByName("Ready")),
+			connect.WithClientOptions(opts...),
+		),
 		submit: connect.NewClient[v1.DeskSubmitRequest, v1.DeskSubmitResponse](
 			httpClient,
 			baseURL+DeskServiceSubmitProcedure,
@@ -82,11 +92,17 @@
 
 // deskServiceClient implements DeskServiceClient.
 type deskServiceClient struct {
+	ready  *connect.Client[v1.DeskReadyRequest, v1.DeskReadyResponse]
 	submit *connect.Client[v1.DeskSubmitRequest, v1.DeskSubmitResponse]
 	state  *connect.Client[v1.DeskStateRequest, v1.DeskStateResponse]
 	cancel *connect.Client[v1.DeskCancelRequest, v1.DeskCancelResponse]
 }
 
+// Ready calls sniperill.v1.DeskService.Ready.
+func (c *deskServiceClient) Ready(ctx context.Context, req *connect.Request[v1.DeskReadyRequest]) (*connect.Response[v1.DeskReadyResponse], error) {
+	return c.ready.CallUnary(ctx, req)
+}
+
 // Submit calls sniperill.v1.DeskService.Submit.
 func (c *deskServiceClient) Submit(ctx context.Context, req *connect.Request[v1.DeskSubmitRequest]) (*connect.Response[v1.DeskSubmitResponse], error) {
 	return c.submit.CallUnary(ctx, req)
@@ -104,6 +120,8 @@
 
 // DeskServiceHandler is an implementation of the sniperill.v1.DeskService service.
 type DeskServiceHandler interface {
+	// Ready says whether the entry reaches the store.
+	Ready(context.Context, *connect.Request[v1.DeskReadyRequest]) (*connect.Response[v1.DeskReadyResponse], error)
 	Submit(context.Context, *connect.Request[v1.DeskSubmitRequest]) (*connect.Response[v1.DeskSubmitResponse], error)
 	State(context.Context, *connect.Request[v1.DeskStateRequest]) (*connect.Response[v1.DeskStateResponse], error)
 	Cancel(context.Context, *connect.Request[v1.DeskCancelRequest]) (*connect.Response[v1.DeskCancelResponse], error)
@@ -116,6 +134,12 @@
 // and JSON codecs. They also support gzip compression.
 func NewDeskServiceHandler(svc DeskServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
 	deskServiceMethods := v1.File_sniperill_v1_desk_proto.Services().ByName("DeskService").Methods()
+	deskServiceReadyHandler := connect.NewUnaryHandler(
+		DeskServiceReadyProcedure,
+		svc.Ready,
+		connect.WithSchema(deskServiceMethods.ByName("Ready")),
+		connect.WithHandlerOptions(opts...),
+	)
 	deskServiceSubmitHandler := connect.NewUnaryHandler(
 		DeskServiceSubmitProcedure,
 		svc.Submit,
@@ -136,6 +160,8 @@
 	)
 	return "/sniperill.v1.DeskService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
+		case DeskServiceReadyProcedure:
+			deskServiceReadyHandler.ServeHTTP(w, r)
 		case DeskServiceSubmitProcedure:
 			deskServiceSubmitHandler.ServeHTTP(w, r)
 		case DeskServiceStateProcedure:
@@ -151,6 +177,10 @@
 // UnimplementedDeskServiceHandler returns CodeUnimplemented from all methods.
 type UnimplementedDeskServiceHandler struct{}
 
+func (UnimplementedDeskServiceHandler) Ready(context.Context, *connect.Request[v1.DeskReadyRequest]) (*connect.Response[v1.DeskReadyResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("sniperill.v1.DeskService.Ready is not implemented"))
+}
+
 func (UnimplementedDeskServiceHandler) Submit(context.Context, *connect.Request[v1.DeskSubmitRequest]) (*connect.Response[v1.DeskSubmitResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("sniperill.v1.DeskService.Submit is not implemented"))
 }
