intake: a job whose write is open is not refused as not run

The entry now remembers open writes by job and waits for them, or says again that the outcome is not known.

--- a/internal/intake/desk.go
+++ b/internal/intake/desk.go
@@ -43,6 +43,7 @@
 	Log   zerolog.Logger
 
 	silent sync.Map // When a peer didn't answer last, by name.
+	open   sync.Map // Channels that are closed when a job's write is settled, by its id.
 }
 
 // Current says whether the ledger has been read to its end lately.
@@ -88,14 +89,47 @@
 		log.Str("state", string(known.State())).Int64("offset", known.Accepted).Msg("A job was submitted again.")
 		return nil
 	}
+	if err := d.awaitOpen(ctx, j.ID); err != nil {
+		return err
+	}
 	offset, err := d.Writer.Add(ctx, ledger.JobRecord(j))
 	if err != nil {
+		d.noteOpen(j.ID, err)
 		return d.failed("submit", j.ID, err)
 	}
 	log.Int64("offset", offset).Msg("Accepted a job.")
 	return nil
 }
 
+// noteOpen remembers that a job may still be written, so that no later call says that it
+// has not run.
+func (d *Desk) noteOpen(id string, err error) {
+	var undecided *journal.UndecidedError
+	if !errors.As(err, &undecided) {
+		return
+	}
+	d.open.Store(id, undecided.Settled)
+	go func() {
+		<-undecided.Settled
+		d.open.CompareAndDelete(id, undecided.Settled)
+	}()
+}
+
+// awaitOpen waits until an earlier write of the same job is settled.
+func (d *Desk) awaitOpen(ctx context.Context, id string) error {
+	settled, ok := d.open.Load(id)
+	if !ok {
+		return nil
+	}
+	select {
+	case <-settled.(<-chan struct{}):
+		return nil
+	case <-ctx.Done():
+		d.Log.Warn().Str("job", id).Msg("An earlier write of the job is still open.")
+		return fmt.Errorf("intake.Desk: submit: %w: an earlier write is open", ErrUndecided)
+	}
+}
+
 // State returns a job's state, or shop.ErrNotFound when the journal doesn't have it.
 func (d *Desk) State(ctx context.Context, id, team string) (shop.JobState, error) {
 	var state shop.JobState
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -18,6 +18,15 @@
 	ErrTrimmed = errors.New("records trimmed")
 )
 
+// UndecidedError is the ErrUndecided of one append. Settled is closed when its outcome is known.
+type UndecidedError struct{ Settled <-chan struct{} }
+
+// Error gives the text of ErrUndecided.
+func (e *UndecidedError) Error() string { return ErrUndecided.Error() }
+
+// Is says that the error is ErrUndecided.
+func (e *UndecidedError) Is(target error) bool { return target == ErrUndecided }
+
 // Record is a value under a key. A nil value drops the key.
 type Record struct {
 	Key    string
--- a/internal/journal/writer.go
+++ b/internal/journal/writer.go
@@ -75,7 +75,7 @@
 }
 
 // Add appends the records together and returns the first one's offset. It fails with
-// ErrUnavailable when nothing was and will be written, and with ErrUndecided when ctx
+// ErrUnavailable when nothing was and will be written, and with an UndecidedError when ctx
 // ended before the outcome was known. While an outcome is open, others are refused at once.
 func (w *Writer) Add(ctx context.Context, records ...Record) (int64, error) {
 	w.init()
@@ -113,7 +113,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if e.sent {
-		return fmt.Errorf("journal.Add: %w", ErrUndecided)
+		return fmt.Errorf("journal.Add: %w", &UndecidedError{Settled: e.done})
 	}
 	w.waiting = slices.DeleteFunc(w.waiting, func(o *entry) bool { return o == e })
 	return fmt.Errorf("journal.Add: %w", ErrUnavailable)
