dispatch: a planner that is gone or without the store is replaced after 0.8 s

Cause: in the kapur incident nobody planned for 1.8 s when the planner's machine lost the store; quotes of that time were late. Change: after 0.8 s without a beat a standby asks the planner whether it reaches the store, and steps up when it doesn't; beats come every 0.3 s.

--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -53,6 +53,7 @@
 	desk    *intake.Desk
 	ledger  *ledger.Ledger
 	kill    context.CancelFunc
+	gone    <-chan struct{} // Closed when it is killed.
 	stop    context.CancelFunc
 	stopped chan struct{}
 	cut     cutStore
@@ -239,9 +240,10 @@
 	for _, a := range c.agents {
 		e.agents.set(a.name, a.host)
 	}
+	planner.Ask = e.desk.Ask
 	running, kill := context.WithCancel(c.ctx)
 	planning, stop := context.WithCancel(running)
-	e.kill, e.stop = kill, stop
+	e.kill, e.stop, e.gone = kill, stop, running.Done()
 	go follower.Run(running)
 	go writer.Run(running)
 	go register(running, writer, ledger.EntryRecord(ledger.Address{Name: name}))
@@ -252,13 +254,30 @@
 	return e
 }
 
+// peerLink is a client of another entry.
+type peerLink struct {
+	intake.Handler
+	gone <-chan struct{}
+}
+
+// Ready asks the entry, which doesn't answer when it was killed.
+func (l peerLink) Ready(ctx context.Context, r *connect.Request[pb.DeskReadyRequest]) (*connect.Response[pb.DeskReadyResponse], error) {
+	select {
+	case <-l.gone:
+		<-ctx.Done()
+		return nil, ctx.Err()
+	default:
+		return l.Handler.Ready(ctx, r)
+	}
+}
+
 // peersOf returns the other entries as one reaches them.
 func (c *cluster) peersOf(e *entry) func() []intake.Peer {
 	return func() []intake.Peer {
 		var out []intake.Peer
 		for _, o := range c.entries {
 			if o != e {
-				out = append(out, intake.Peer{Name: o.name, Client: intake.Handler{Desk: o.desk}})
+				out = append(out, intake.Peer{Name: o.name, Client: peerLink{intake.Handler{Desk: o.desk}, o.gone}})
 			}
 		}
 		return out
--- a/internal/dispatch/path_test.go
+++ b/internal/dispatch/path_test.go
@@ -157,3 +157,40 @@
 		c.once("a.0.0.0", "a.0.0.1")
 	})
 }
+
+// A planner that is gone is replaced sooner than one that may only be slow: a peer asks
+// it whether it reaches the store.
+func TestADeadPlannerIsReplacedQuickly(t *testing.T) {
+	tests := []struct {
+		name   string
+		fail   func(*cluster, *entry)
+		within time.Duration
+	}{
+		{"its process is killed", func(_ *cluster, e *entry) { e.kill() }, 1200 * time.Millisecond},
+		{"it is cut off from the store", func(_ *cluster, e *entry) { e.cut.set(true) }, 1600 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			virtually(t, func(t *testing.T) {
+				c := newCluster(t, 4, 2)
+				time.Sleep(3 * time.Second)
+				p := c.planner()
+				other := c.entries[0]
+				if other == p {
+					other = c.entries[1]
+				}
+				tt.fail(c, p)
+				begun := time.Now()
+				if err := c.submitAt(other, "a", "red", "batch", task(1, 1)); err != nil {
+					t.Fatal(err)
+				}
+				for c.judge.count("a.0.0.0") == 0 {
+					if time.Since(begun) > tt.within {
+						t.Fatalf("no task was started %v after the planner had failed", time.Since(begun))
+					}
+					time.Sleep(5 * time.Millisecond)
+				}
+			})
+		})
+	}
+}
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -19,11 +19,16 @@
 )
 
 const (
-	// silence is how long no record of the planner is seen before another steps up. The
-	// planner writes a beat every beatInterval, so three are missed.
+	// silence is how long no record of the planner is seen before another steps up although
+	// the planner says that it reaches the store. A slow store delays a beat by a second.
 	silence = 1800 * time.Millisecond
+	// doubt is the silence after which the planner is asked; it steps down to a peer when it
+	// doesn't answer or has lost the store. Two beats are missed by then.
+	doubt = 800 * time.Millisecond
 	// beatInterval is how often a planner says that it is alive.
-	beatInterval = 500 * time.Millisecond
+	beatInterval = 300 * time.Millisecond
+	// askTimeout bounds the question to the planner; it takes 2 ms.
+	askTimeout = 200 * time.Millisecond
 	// stepUpGap is how much longer the next in line waits; stepping up takes some 30 ms.
 	stepUpGap = 100 * time.Millisecond
 	// candidateTick is how often a standby looks at what it has seen.
@@ -50,6 +55,8 @@
 	Rules func() *workflow.Rules
 	// Dial returns a client of the agent at an address.
 	Dial func(address string) sniperillv1connect.HostServiceClient
+	// Ask says whether an entry answers and reaches the store.
+	Ask func(ctx context.Context, entry string) bool
 	Terms
 	Log zerolog.Logger
 
@@ -119,7 +126,7 @@
 		if quiet == 0 {
 			quiet = clock.Now()
 		}
-		if !p.vacant(quiet) {
+		if !p.vacant(ctx, quiet) {
 			continue
 		}
 		if err := p.serve(ctx); err != nil && ctx.Err() == nil {
@@ -131,16 +138,23 @@
 }
 
 // vacant says whether nobody plans, as far as can be seen.
-func (p *Planner) vacant(quiet clock.Instant) bool {
+func (p *Planner) vacant(ctx context.Context, quiet clock.Instant) bool {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.Rules() == nil {
+	seen, since := p.seen, clock.Since(max(p.sighted, quiet))
+	p.mu.Unlock()
+	switch {
+	case p.Rules() == nil:
 		return false
-	}
-	if p.seen.Epoch == 0 || p.seen.Resigned || p.seen.Name == p.Name && p.seen.Start != p.Start {
+	case seen.Epoch == 0, seen.Resigned, seen.Name == p.Name && seen.Start != p.Start:
 		return true // There never was one, it resigned, or it was an earlier life of this process.
+	case since > silence:
+		return true
+	case since <= doubt:
+		return false
 	}
-	return clock.Since(max(p.sighted, quiet)) > silence
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	return !p.Ask(ctx, seen.Name)
 }
 
 // rank returns the process's place in the line of those that may follow a planner. It
--- a/internal/intake/desk.go
+++ b/internal/intake/desk.go
@@ -30,8 +30,9 @@
 	ErrUndecided = errors.New("the outcome is not known yet")
 )
 
-// currentAge is the age of the newest complete read up to which the ledger counts as current.
-const currentAge = 2 * time.Second
+// currentAge is the age of the newest complete read up to which the ledger counts as
+// current. A read waits 0.7 s for a record, and a slow store answers half a second late.
+const currentAge = 1400 * time.Millisecond
 
 // Desk takes jobs. Set its fields before use.
 type Desk struct {
--- a/internal/intake/peers.go
+++ b/internal/intake/peers.go
@@ -130,6 +130,17 @@
 	return result, err
 }
 
+// Ask says whether an entry answers and reaches the store.
+func (d *Desk) Ask(ctx context.Context, name string) bool {
+	for _, peer := range d.Peers() {
+		if peer.Name == name {
+			resp, err := peer.Client.Ready(ctx, connect.NewRequest(&pb.DeskReadyRequest{}))
+			return err == nil && resp.Msg.GetReady()
+		}
+	}
+	return false
+}
+
 // Peer is another entry.
 type Peer struct {
 	Name   string
