--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,172 @@
+package ledger_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"sniperill.example/sniperill/internal/journal"
+	"sniperill.example/sniperill/internal/ledger"
+	"sniperill.example/sniperill/pkg/shop"
+	"sniperill.example/sniperill/pkg/workflow"
+)
+
+func job(id string, tasks int) *workflow.Job {
+	return &workflow.Job{
+		ID: id, Team: "t", Queue: workflow.Queue{Name: "q"}, Submitted: time.Unix(1, 0).UTC(),
+		Steps: []workflow.Step{{Count: tasks, Estimate: time.Second}},
+	}
+}
+
+func claimed(run, tasks int) ledger.Progress {
+	p := ledger.Progress{Units: make(map[ledger.UnitKey]ledger.Unit)}
+	for i := range tasks {
+		p.Units[ledger.UnitKey{Index: i}] = ledger.Unit{
+			Run: run, Checkpoint: "00000bb87a21d94b",
+			Members: []ledger.Member{{Index: i, Node: fmt.Sprint("side-", i%11), Lifetime: fmt.Sprint("i-56cd2cdb5c@17844554245", i%11)}},
+		}
+	}
+	return p
+}
+
+func final(state shop.JobState) ledger.Progress {
+	p := claimed(1, 1)
+	p.State = state
+	return p
+}
+
+// apply applies records as if they stood in the journal from offset 0 on.
+func apply(t *testing.T, records ...journal.Record) *ledger.Ledger {
+	t.Helper()
+	l := &ledger.Ledger{}
+	for i, r := range records {
+		r.Offset = int64(i)
+		if err := l.Apply(r); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return l
+}
+
+func TestStates(t *testing.T) {
+	accepted := ledger.JobRecord(job("a", 1))
+	tests := []struct {
+		name    string
+		records []journal.Record
+		want    shop.JobState
+	}{
+		{"accepted", []journal.Record{accepted}, shop.Queued},
+		{"accepted twice", []journal.Record{accepted, accepted}, shop.Queued},
+		{"claimed", []journal.Record{accepted, ledger.ProgressRecord("a", claimed(1, 1))}, shop.Running},
+		{"progress read before the job", []journal.Record{ledger.ProgressRecord("a", claimed(1, 1)), accepted}, shop.Running},
+		{"done", []journal.Record{accepted, ledger.ProgressRecord("a", final(shop.Done))}, shop.Done},
+		{"failed", []journal.Record{accepted, ledger.ProgressRecord("a", final(shop.Failed))}, shop.Failed},
+		{"cancelled", []journal.Record{accepted, ledger.CancelRecord("a")}, shop.Cancelled},
+		{
+			"done before it was cancelled",
+			[]journal.Record{accepted, ledger.ProgressRecord("a", final(shop.Done)), ledger.CancelRecord("a")},
+			shop.Done,
+		},
+		{
+			"cancelled before it was done",
+			[]journal.Record{accepted, ledger.CancelRecord("a"), ledger.ProgressRecord("a", final(shop.Done))},
+			shop.Cancelled,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			j, ok := apply(t, tt.records...).Job("a")
+			if !ok {
+				t.Fatal("the job is not known")
+			}
+			if diff := cmp.Diff(tt.want, j.State()); diff != "" {
+				t.Errorf("state (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestDroppedJobsAreForgotten(t *testing.T) {
+	l := apply(t, append([]journal.Record{ledger.JobRecord(job("a", 1))}, ledger.DropRecords("a")...)...)
+	if _, ok := l.Job("a"); ok {
+		t.Error("a dropped job is still known")
+	}
+}
+
+func TestRecordsThatCantBeReadChangeNothing(t *testing.T) {
+	l := apply(t, ledger.JobRecord(job("a", 1)))
+	for _, key := range []string{"j/a", "p/a", "planner", "beat", "e/x", "w/x"} {
+		if err := l.Apply(journal.Record{Key: key, Value: []byte("{"), Offset: 9}); err == nil {
+			t.Errorf("record %q was taken", key)
+		}
+	}
+	if err := l.Apply(journal.Record{Key: "other", Value: []byte("{"), Offset: 9}); err != nil {
+		t.Errorf("another writer's record: %v", err)
+	}
+	if j, ok := l.Job("a"); !ok || j.State() != shop.Queued {
+		t.Error("the job has changed")
+	}
+}
+
+func TestTheNewestPlannerHolds(t *testing.T) {
+	a, b := ledger.Planner{Name: "a", Start: "1"}, ledger.Planner{Name: "b", Start: "1"}
+	resigned := ledger.Planner{Name: "b", Start: "1", Resigned: true, Epoch: 2}
+	l := apply(t, ledger.PlannerRecord(a), ledger.PlannerRecord(b), ledger.PlannerRecord(resigned), ledger.BeatRecord(1))
+	got, _ := l.Planner()
+	if diff := cmp.Diff(resigned, got); diff != "" {
+		t.Errorf("planner (-want +got):\n%s", diff)
+	}
+}
+
+func TestProgressSurvivesTheJournal(t *testing.T) {
+	want := claimed(3, 5)
+	want.Units[ledger.GangKey(1, 2)] = ledger.Unit{Run: 2, Failures: 1, Done: true}
+	data, err := want.MarshalJSON()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got ledger.Progress
+	if err := got.UnmarshalJSON(data); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("progress (-want +got):\n%s", diff)
+	}
+}
+
+func FuzzProgress(f *testing.F) {
+	f.Add([]byte(`{"places":[["n","l"]],"units":[{"k":[0,0,1],"r":1,"m":[[1,0]]}]}`))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		var p ledger.Progress
+		_ = p.UnmarshalJSON(data) // Any input gives a value or an error, and no panic.
+	})
+}
+
+// BenchmarkRecovery is the state that a new entry learns: live jobs of ten tasks.
+func BenchmarkRecovery(b *testing.B) {
+	for _, jobs := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprint(jobs), func(b *testing.B) {
+			var records []journal.Record
+			bytes := 0
+			for i := range jobs {
+				id := fmt.Sprintf("%016x", i)
+				records = append(records, ledger.JobRecord(job(id, 10)), ledger.ProgressRecord(id, claimed(1, 10)))
+			}
+			for i := range records {
+				records[i].Offset = int64(i)
+				bytes += len(records[i].Key) + len(records[i].Value)
+			}
+			for b.Loop() {
+				l := &ledger.Ledger{}
+				for _, r := range records {
+					if err := l.Apply(r); err != nil {
+						b.Fatal(err)
+					}
+				}
+			}
+			b.ReportMetric(float64(bytes), "journal-bytes")
+		})
+	}
+}
