--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -54,6 +54,7 @@
 		moved: clock.Now(),
 	}
 	r.members[m.task] = m
+	w.members[m.task] = m
 	return m
 }
 
@@ -81,6 +82,7 @@
 // over takes in that a member's run is over. End is zero when nothing is known of how.
 func (r *reign) over(m *member, end host.End, checkpoint string, why string) {
 	delete(r.members, m.task)
+	delete(m.worker.members, m.task)
 	countEnd(end)
 	j := m.job
 	u := j.drop(m.key, m.index)
@@ -136,7 +138,7 @@
 // sweep acts on what follows from time and cancellations alone.
 func (r *reign) sweep() {
 	now := clock.Now()
-	for _, m := range r.sortedMembers() {
+	for _, m := range sortedMembers(r.members) {
 		switch {
 		case m.worker.passed(m.lifetime):
 			r.over(m, 0, "", "the worker's lifetime is over")
@@ -177,9 +179,9 @@
 	r.haltUnit(m.job, m.key)
 }
 
-// sortedMembers returns the members in a stable order.
-func (r *reign) sortedMembers() []*member {
-	return slices.SortedFunc(maps.Values(r.members), func(a, b *member) int { return cmp.Compare(a.task, b.task) })
+// sortedMembers returns members in a stable order.
+func sortedMembers(members map[string]*member) []*member {
+	return slices.SortedFunc(maps.Values(members), func(a, b *member) int { return cmp.Compare(a.task, b.task) })
 }
 
 // sortedWorkers returns the workers by name.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -118,7 +118,7 @@
 		key ledger.UnitKey
 	}
 	at := make(map[unitName]int)
-	for _, m := range r.sortedMembers() {
+	for _, m := range sortedMembers(r.members) {
 		w, ok := indices[m.worker]
 		if !ok || m.lifetime != m.worker.lifetime {
 			continue // It holds no room of a lifetime that is known.
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -29,7 +29,7 @@
 		return
 	}
 	if w.silent {
-		r.forgetProgress(w)
+		w.forgetProgress()
 	}
 	r.takeRunning(w, m.GetRunning())
 	for _, e := range m.GetEnded() {
@@ -61,11 +61,9 @@
 }
 
 // forgetProgress takes in that nothing is known of how a worker's tasks get on.
-func (r *reign) forgetProgress(w *worker) {
-	for _, m := range r.members {
-		if m.worker == w {
-			m.moved = clock.Now()
-		}
+func (w *worker) forgetProgress() {
+	for _, m := range w.members {
+		m.moved = clock.Now()
 	}
 }
 
@@ -104,8 +102,8 @@
 // disownAbsent stops what an earlier planner claimed and the worker doesn't show: its
 // start was never sent, or is still on its way.
 func (r *reign) disownAbsent(w *worker, tasks []*pb.RunningTask) {
-	for _, m := range r.members {
-		if m.worker == w && m.lifetime == w.lifetime && m.status == adopted {
+	for _, m := range sortedMembers(w.members) {
+		if m.lifetime == w.lifetime && m.status == adopted {
 			r.Log.Info().Str("task", m.task).Int("run", m.run).Str("node", w.name).Int("running", len(tasks)).
 				Msg("A claimed run is not shown; stopping it.")
 			r.haltUnit(m.job, m.key)
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -45,7 +45,8 @@
 	address  string
 	restart  context.CancelFunc // Ends the calls to the address so far.
 	orders   chan struct{}
-	life     string // Of the agent.
+	members  map[string]*member // That may still run here, by task.
+	life     string             // Of the agent.
 	report   uint64
 	version  uint64
 	received clock.Instant // When the newest report came, zero before the first.
@@ -69,7 +70,7 @@
 func (r *reign) addWorker(a ledger.Address) *worker {
 	w, ok := r.workers[a.Name]
 	if !ok {
-		w = &worker{name: a.Name, zone: a.Zone, orders: make(chan struct{}, 1)}
+		w = &worker{name: a.Name, zone: a.Zone, orders: make(chan struct{}, 1), members: make(map[string]*member)}
 		r.workers[a.Name] = w
 	}
 	if a.Address == "" || a.Address == w.address {
@@ -218,8 +219,8 @@
 	req := &pb.OrderRequest{Epoch: r.epoch, Lifetime: w.lifetime}
 	var starts, stops []*member
 	now := clock.Now()
-	for _, m := range r.sortedMembers() {
-		if m.worker != w || m.lifetime != w.lifetime || m.sent || len(starts)+len(stops) >= maxOrders {
+	for _, m := range sortedMembers(w.members) {
+		if m.lifetime != w.lifetime || m.sent || len(starts)+len(stops) >= maxOrders {
 			continue
 		}
 		switch m.status {
