--- a/internal/dispatch/reign.go
+++ b/internal/dispatch/reign.go
@@ -12,7 +12,6 @@
 	"sniperill.example/sniperill/internal/clock"
 	"sniperill.example/sniperill/internal/journal"
 	"sniperill.example/sniperill/internal/ledger"
-	"sniperill.example/sniperill/pkg/shop"
 )
 
 const (
@@ -44,7 +43,7 @@
 	beaten  clock.Instant      // When the last beat was written.
 
 	group errgroup.Group
-	ctx   context.Context //nolint:containedctx // Of the calls to agents; those that join later run in it.
+	ctx   context.Context // Of the calls to agents; those that join later run in it.
 }
 
 func (p *Planner) newReign(epoch int64) *reign {
@@ -93,7 +92,7 @@
 		}
 		return nil
 	})
-	err := r.reign(ctx)
+	err := r.loop(ctx)
 	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeposed) {
 		r.drain(calls)
 		r.resign(calls)
@@ -128,7 +127,8 @@
 	return n
 }
 
-func (r *reign) reign(ctx context.Context) error {
+// loop fences older planners, takes over what they left, and makes one pass after another.
+func (r *reign) loop(ctx context.Context) error {
 	// From here on the store refuses what older planners append.
 	if _, err := r.writer.Add(ctx, ledger.BeatRecord(r.epoch)); err != nil {
 		return fmt.Errorf("dispatch.Planner: fence older planners: %w", err)
@@ -323,5 +323,5 @@
 		return false
 	}
 	l, ok := r.Ledger.Job(j.spec.ID)
-	return ok && l.State() != shop.Queued && l.Ended != 0 && clock.Since(l.Ended) > r.Retention
+	return ok && l.Ended != 0 && clock.Since(l.Ended) > r.Retention
 }
