--- a/internal/deployment/stop_test.go
+++ b/internal/deployment/stop_test.go
@@ -47,7 +47,11 @@
 				_, err := c.Call(t.Context(), caller.Request{ID: "slow", Class: "price-quote"})
 				called <- err
 			}()
-			<-started
+			select {
+			case <-started:
+			case err := <-called:
+				t.Fatalf("the caller got %v before its request had started", err)
+			}
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
 			go func() { stopped <- l.Stop(ctx) }()
