deployment: a call waits for the agents to have the configuration; queue: no churn between overdue jobs

Agents learn it with their next heartbeat; a call before that is refused as not run, rightly.

A small job that had been evicted before went first, took room from the large job that would evict it in the next plan, and was evicted again (its eighth attempt). Small jobs that would give way to an overdue large one go last now.

--- a/internal/deployment/capacity_test.go
+++ b/internal/deployment/capacity_test.go
@@ -68,24 +68,10 @@
 	if err != nil {
 		tb.Fatal(err)
 	}
-	for {
-		workers, err := c.Workers(tb.Context())
-		if err != nil {
-			tb.Fatal(err)
-		}
-		behind := 0
-		for _, w := range workers {
-			if w.State.ConfigVersion < version {
-				behind++
-			}
-		}
-		if behind == 0 {
-			return l
-		}
-		if err := clock.Pause(tb.Context(), pollEvery); err != nil {
-			tb.Fatal(err)
-		}
+	if err := l.AwaitConfig(tb.Context(), version); err != nil {
+		tb.Fatal(err)
 	}
+	return l
 }
 
 // BenchmarkRequest sends requests to backend servers through the deployment,
--- a/internal/deployment/local.go
+++ b/internal/deployment/local.go
@@ -9,6 +9,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -298,24 +299,48 @@
 
 // awaitAgents returns once every entry knows every agent.
 func (l *Local) awaitAgents(ctx context.Context) error {
+	return l.awaitEntries(ctx, func(workers []*sniperillv1.WorkerStatus) bool { return len(workers) == l.Workers })
+}
+
+// AwaitConfig returns once every worker has a version of the configuration in force, as
+// every entry knows it. A request that comes before is refused as not run.
+func (l *Local) AwaitConfig(ctx context.Context, version uint64) error {
+	return l.awaitEntries(ctx, inForce(version))
+}
+
+// inForce returns whether all workers have a version of the configuration in force.
+func inForce(version uint64) func([]*sniperillv1.WorkerStatus) bool {
+	behind := func(w *sniperillv1.WorkerStatus) bool { return w.State.ConfigVersion < version }
+	return func(workers []*sniperillv1.WorkerStatus) bool { return !slices.ContainsFunc(workers, behind) }
+}
+
+// awaitEntries returns once what each entry knows of the workers is as it should be.
+func (l *Local) awaitEntries(ctx context.Context, enough func([]*sniperillv1.WorkerStatus) bool) error {
 	for i := range l.Running {
 		c, err := l.Operator(i, "local")
 		if err != nil {
 			return trace.Wrap(err)
 		}
-		for {
-			workers, err := c.Workers(ctx)
-			if err == nil && len(workers) == l.Workers {
-				break
-			}
-			if err := clock.Pause(ctx, pollEvery); err != nil {
-				return fmt.Errorf("deployment.awaitAgents: %w", err)
-			}
+		if err := awaitWorkers(ctx, c, enough); err != nil {
+			return trace.Wrap(err)
 		}
 	}
 	return nil
 }
 
+// awaitWorkers asks an entry for its workers until they are as they should be.
+func awaitWorkers(ctx context.Context, c *operator.Client, enough func([]*sniperillv1.WorkerStatus) bool) error {
+	for {
+		workers, err := c.Workers(ctx)
+		if err == nil && enough(workers) {
+			return nil
+		}
+		if stopped := clock.Pause(ctx, pollEvery); stopped != nil {
+			return fmt.Errorf("deployment.awaitWorkers: %d workers known: %w", len(workers), errors.Join(stopped, err))
+		}
+	}
+}
+
 // pollEvery is how often a local deployment is asked whether something has come.
 const pollEvery = 20 * time.Millisecond
 
--- a/internal/deployment/process_test.go
+++ b/internal/deployment/process_test.go
@@ -10,12 +10,12 @@
 	"testing"
 	"time"
 
-	"sniperill.example/sniperill/internal/clock"
 	"sniperill.example/sniperill/internal/keys"
 	"sniperill.example/sniperill/internal/settings"
 	"sniperill.example/sniperill/pkg/caller"
 	"sniperill.example/sniperill/pkg/operator"
 	"sniperill.example/sniperill/pkg/shop"
+	sniperillv1 "sniperill.example/sniperill/proto/sniperill/v1"
 )
 
 // anyPort is valid in a file; the tests listen on ports that the system chooses.
@@ -139,13 +139,9 @@
 	}
 	o := &operator.Client{URL: url, Token: token(keys.Principal{Role: keys.RoleOperator, Name: "siti"}), TLS: l.Authority.ClientTLS()}
 	o.Open()
-	for {
-		if workers, err := o.Workers(t.Context()); err == nil && len(workers) == 1 {
-			break
-		}
-		if err := clock.Pause(t.Context(), pollEvery); err != nil {
-			t.Fatal(err)
-		}
+	one := func(workers []*sniperillv1.WorkerStatus) bool { return len(workers) == 1 }
+	if err := awaitWorkers(t.Context(), o, one); err != nil {
+		t.Fatal(err)
 	}
 	config := shop.Config{
 		Teams: shop.TeamList{{Name: "quotes", Guarantees: []shop.Guarantee{
@@ -157,7 +153,11 @@
 		},
 		BackendServers: shop.BackendServerList{{Name: "*", Classes: []string{"price-quote"}}},
 	}
-	if _, err := o.Apply(t.Context(), config, 0, "", false); err != nil {
+	version, err := o.Apply(t.Context(), config, 0, "", false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := awaitWorkers(t.Context(), o, inForce(version)); err != nil {
 		t.Fatal(err)
 	}
 	c := &caller.Client{URL: url, Token: token(keys.Principal{Role: keys.RoleCaller, Team: "quotes"}), TLS: l.Authority.ClientTLS()}
--- a/internal/deployment/teams_test.go
+++ b/internal/deployment/teams_test.go
@@ -38,7 +38,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := c.Apply(t.Context(), folder.Config, 0, "test", false); err != nil {
+	version, err := c.Apply(t.Context(), folder.Config, 0, "test", false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := l.AwaitConfig(t.Context(), version); err != nil {
 		t.Fatal(err)
 	}
 	return l
--- a/internal/deployment/try.go
+++ b/internal/deployment/try.go
@@ -107,23 +107,8 @@
 		return trace.Wrap(err)
 	}
 	o := Outcome{Name: "apply the sample configuration", Want: "in force everywhere within 3s", Got: "in force everywhere within 3s"}
-	for {
-		workers, err := c.Workers(ctx)
-		if err != nil {
-			return trace.Wrap(err)
-		}
-		behind := 0
-		for _, w := range workers {
-			if w.State.ConfigVersion < version {
-				behind++
-			}
-		}
-		if behind == 0 {
-			break
-		}
-		if err := clock.Pause(ctx, pollEvery); err != nil {
-			return trace.Wrap(err)
-		}
+	if err := t.AwaitConfig(ctx, version); err != nil {
+		return trace.Wrap(err)
 	}
 	o.Took = shop.Duration(time.Since(start))
 	if time.Duration(o.Took) > 3*time.Second {
--- a/internal/queue/rank.go
+++ b/internal/queue/rank.go
@@ -148,6 +148,7 @@
 	slices.SortFunc(overdue, func(a, b *item) int {
 		return cmp.Or(a.waitingSince().Compare(b.waitingSince()), byAge(*a, *b))
 	})
+	overdue = p.yieldingLast(overdue)
 	// An older job's reservation goes before a younger one's.
 	carried := p.releaseAll()
 	for _, it := range overdue {
@@ -160,6 +161,27 @@
 	}
 }
 
+// yieldingLast moves small jobs that would give way to a large one of the list behind all
+// others: the next plan would evict them again.
+func (p *Planner) yieldingLast(overdue []*item) []*item {
+	yields := func(it *item) bool {
+		return it.class.Preemptible && !it.class.Urgent && !large(it.Shape) &&
+			slices.ContainsFunc(overdue, func(o *item) bool {
+				return large(o.Shape) && it.Submitted.After(o.Submitted.Add(-p.grace()))
+			})
+	}
+	first := make([]*item, 0, len(overdue))
+	var last []*item
+	for _, it := range overdue {
+		if yields(it) {
+			last = append(last, it)
+			continue
+		}
+		first = append(first, it)
+	}
+	return append(first, last...)
+}
+
 func (p *Planner) overdueOne(it *item, carried []hold) {
 	i := slices.IndexFunc(carried, func(h hold) bool { return h.Job == it.ID })
 	if i >= 0 && !p.late(carried[i].Reservation) && p.stands(carried[i].Reservation) {
