intake: a job whose write is open is not refused, at whichever entry

Change: an entry remembers each job that it is writing, has passed on or could not tell the outcome of, and asks its peers for theirs before it refuses one. Peers are asked each second; one that has fallen silent less than 4 s ago counts as having the write open. An outcome that stays open is told after 1.5 s, while the write goes on; before, a caller was held to the end. Test: TestAJobWhoseWriteIsOpenIsNotRefused, three cases, all failing before.

--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -251,6 +251,7 @@
 	e.kill, e.stop, e.gone = kill, stop, running.Done()
 	go follower.Run(running)
 	go writer.Run(running)
+	go e.desk.Run(running)
 	go register(running, writer, ledger.EntryRecord(ledger.Address{Name: name}))
 	go func() {
 		defer close(e.stopped)
--- a/internal/dispatch/desk_test.go
+++ b/internal/dispatch/desk_test.go
@@ -89,3 +89,61 @@
 		}
 	})
 }
+
+// A refusal says that the job never runs. Whichever entry a caller comes back to, and
+// whether the entry before it still lives, none may refuse a job whose write is open.
+func TestAJobWhoseWriteIsOpenIsNotRefused(t *testing.T) {
+	tests := []struct {
+		name string
+		// first submits the job for the first time, so that its outcome is left open.
+		first func(*cluster) error
+	}{
+		{"own write", func(c *cluster) error {
+			c.store.Break(standin.StoreSilent)
+			return c.submitAt(c.entries[0], "open", "red", "batch", task(1, 1))
+		}},
+		{"passed on", func(c *cluster) error {
+			c.entries[0].cut.set(true)
+			time.Sleep(2 * time.Second) // It knows that it has lost the store.
+			c.store.Break(standin.StoreSilent)
+			return c.submitAt(c.entries[0], "open", "red", "batch", task(1, 1))
+		}},
+		{"own write, and the entry is gone", func(c *cluster) error {
+			c.store.Break(standin.StoreSilent)
+			err := c.submitAt(c.entries[0], "open", "red", "batch", task(1, 1))
+			c.entries[0].kill()
+			return err
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			virtually(t, func(t *testing.T) {
+				c := newCluster(t, 3, 2)
+				time.Sleep(3 * time.Second)
+				if err := tt.first(c); !errors.Is(err, intake.ErrUndecided) {
+					t.Fatalf("the first call: %v, want %v", err, intake.ErrUndecided)
+				}
+				for _, e := range c.entries {
+					if isClosed(e.gone) {
+						continue
+					}
+					// Writes of its own tell it that the store is away, so that it refuses.
+					_ = c.submitAt(e, "other-"+e.name, "red", "batch", task(1, 1))
+					time.Sleep(2 * time.Second)
+					if err := c.submitAt(e, "open", "red", "batch", task(1, 1)); !errors.Is(err, intake.ErrUndecided) {
+						t.Errorf("again at %s: %v, want %v", e.name, err, intake.ErrUndecided)
+					}
+				}
+			})
+		})
+	}
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/intake/desk.go
+++ b/internal/intake/desk.go
@@ -34,7 +34,7 @@
 // current. A read waits 0.7 s for a record, and a slow store answers half a second late.
 const currentAge = 1400 * time.Millisecond
 
-// Desk takes jobs. Set its fields before use.
+// Desk takes jobs. Set its fields before Run.
 type Desk struct {
 	Ledger   *ledger.Ledger
 	Follower *journal.Follower
@@ -43,8 +43,8 @@
 	Peers func() []Peer
 	Log   zerolog.Logger
 
-	silent sync.Map // When a peer didn't answer last, by name.
-	open   sync.Map // Channels that are closed when a job's write is settled, by its id.
+	silent sync.Map // Since when a peer hasn't answered, by its name.
+	open   openJobs
 }
 
 // Current says whether the ledger has been read to its end lately.
@@ -67,8 +67,9 @@
 
 // Submit accepts a job once, whichever entry it is submitted to and however often.
 func (d *Desk) Submit(ctx context.Context, j *workflow.Job) error {
-	return d.do(ctx, call{
-		name: "submit", job: j.ID,
+	done := d.open.begin(j.ID)
+	err := d.do(ctx, call{
+		name: "submit", job: j.ID, runs: true,
 		own: func(ctx context.Context) error { return d.submit(ctx, j) },
 		pass: func(ctx context.Context, peer sniperillv1connect.DeskServiceClient) (pb.DeskResult, error) {
 			data, err := json.Marshal(j)
@@ -82,6 +83,7 @@
 			return resp.Msg.GetResult(), nil
 		},
 	})
+	return done(err)
 }
 
 func (d *Desk) submit(ctx context.Context, j *workflow.Job) error {
@@ -95,35 +97,21 @@
 	}
 	offset, err := d.Writer.Add(ctx, ledger.JobRecord(j))
 	if err != nil {
-		d.noteOpen(j.ID, err)
+		d.open.note(j.ID, err)
 		return d.failed("submit", j.ID, err)
 	}
 	log.Int64("offset", offset).Msg("Accepted a job.")
 	return nil
 }
 
-// noteOpen remembers that a job may still be written, so that no later call says that it
-// has not run.
-func (d *Desk) noteOpen(id string, err error) {
-	var undecided *journal.UndecidedError
-	if !errors.As(err, &undecided) {
-		return
-	}
-	d.open.Store(id, undecided.Settled)
-	go func() {
-		<-undecided.Settled
-		d.open.CompareAndDelete(id, undecided.Settled)
-	}()
-}
-
 // awaitOpen waits until an earlier write of the same job is settled.
 func (d *Desk) awaitOpen(ctx context.Context, id string) error {
-	settled, ok := d.open.Load(id)
-	if !ok {
+	settled := d.open.settled(id)
+	if settled == nil {
 		return nil
 	}
 	select {
-	case <-settled.(<-chan struct{}):
+	case <-settled:
 		return nil
 	case <-ctx.Done():
 		d.Log.Warn().Str("job", id).Msg("An earlier write of the job is still open.")
--- a/internal/intake/peers.go
+++ b/internal/intake/peers.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -18,6 +19,9 @@
 )
 
 const (
+	// decideTimeout bounds how long a caller waits for an outcome that stays open: a slow
+	// store takes 1 s for a write. The write goes on, and the caller's next try joins it.
+	decideTimeout = 1500 * time.Millisecond
 	// hedgeAfter is how long this entry's own write may take before a peer is asked, too.
 	// A write takes 10 ms, to a slow store 400 ms.
 	hedgeAfter = 500 * time.Millisecond
@@ -25,23 +29,29 @@
 	peerTimeout = 700 * time.Millisecond
 	// probeTimeout bounds the question whether a peer reaches the store; it takes 2 ms.
 	probeTimeout = 150 * time.Millisecond
-	// maxProbes bounds the peers that are asked that for one call.
-	maxProbes = 3
-	// silentPause is how long a peer that didn't answer is left out.
-	silentPause = 3 * time.Second
+	// probeInterval is the time between two questions to each peer.
+	probeInterval = time.Second
+	// silentDoubt is how long a peer that has fallen silent may hold an open write of a job
+	// whose caller still tries: callers give up 3 s after they began, and a probe may have
+	// come just before the peer fell silent.
+	silentDoubt = 3*time.Second + probeInterval
 )
 
 // call is a caller's request in three forms: made here, and passed on to a peer.
 type call struct {
 	name, job string
-	own       func(context.Context) error
-	pass      func(context.Context, sniperillv1connect.DeskServiceClient) (pb.DeskResult, error)
+	// runs says that a refusal promises that the job never runs.
+	runs bool
+	own  func(context.Context) error
+	pass func(context.Context, sniperillv1connect.DeskServiceClient) (pb.DeskResult, error)
 }
 
 // do makes a call here and, when the store can't be reached or doesn't answer in time,
 // at a peer. It is done when either is. It is unavailable only when neither can take
 // effect any more.
 func (d *Desk) do(ctx context.Context, c call) error {
+	ctx, cancel := context.WithTimeout(ctx, decideTimeout)
+	defer cancel()
 	own := make(chan error, 1)
 	go func() { own <- c.own(ctx) }()
 	hedge := time.NewTimer(hedgeAfter)
@@ -73,12 +83,15 @@
 // passOn makes the call at a peer that reaches the store, if there is one. Err is what
 // the call came to here.
 func (d *Desk) passOn(ctx context.Context, c call, err error) error {
-	peer, ok := d.readyPeer(ctx)
-	if !ok {
+	s := d.surveyPeers(ctx, c.job)
+	if c.runs {
+		err = s.qualify(err)
+	}
+	if !s.found {
 		return err
 	}
-	result, failed := d.ask(ctx, c, peer)
-	d.Log.Info().Str("job", c.job).Str("call", c.name).Str("peer", peer.Name).Stringer("result", result).
+	result, failed := d.ask(ctx, c, s.ready)
+	d.Log.Info().Str("job", c.job).Str("call", c.name).Str("peer", s.ready.Name).Stringer("result", result).
 		AnErr("failed", failed).AnErr("own", err).Msg("Passed a call on.")
 	switch result {
 	case pb.DeskResult_DESK_RESULT_DONE:
@@ -88,34 +101,95 @@
 	case pb.DeskResult_DESK_RESULT_UNAVAILABLE:
 		return err
 	default:
-		return fmt.Errorf("intake.Desk: %s at %s: %w: %w", c.name, peer.Name, ErrUndecided, failed)
+		return fmt.Errorf("intake.Desk: %s at %s: %w: %w", c.name, s.ready.Name, ErrUndecided, failed)
 	}
 }
 
-// readyPeer returns a peer that says that it reaches the store. To pass a call on to
-// another would make a refusal that is certain into an outcome that nobody knows.
-func (d *Desk) readyPeer(ctx context.Context) (Peer, bool) {
-	probes := 0
-	for _, peer := range d.Peers() {
-		if since, ok := d.silent.Load(peer.Name); ok && clock.Since(since.(clock.Instant)) < silentPause {
+// survey is what the peers say when this entry can't reach the store.
+type survey struct {
+	// ready is the nearest peer that reaches the store. To pass a call on to another would
+	// make a refusal that is certain into an outcome that nobody knows.
+	ready Peer
+	found bool
+	// open says that a peer may write the job that the call is about; unheard, that one
+	// which has fallen silent lately may.
+	open, unheard bool
+}
+
+// qualify turns a refusal into an open outcome when a peer may still write the job.
+func (s survey) qualify(err error) error {
+	switch {
+	case !errors.Is(err, ErrUnavailable):
+		return err
+	case s.open:
+		return fmt.Errorf("%w: a peer's write is open: %v", ErrUndecided, err) // No longer a refusal.
+	case s.unheard:
+		return fmt.Errorf("%w: a peer that may have a write open is silent: %v", ErrUndecided, err)
+	default:
+		return err
+	}
+}
+
+// surveyPeers asks all peers at once.
+func (d *Desk) surveyPeers(ctx context.Context, job string) survey {
+	// A caller whose time is over says nothing about the peers.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
+	defer cancel()
+	peers := d.Peers()
+	answers := make([]*pb.DeskReadyResponse, len(peers))
+	var wg sync.WaitGroup
+	for i, peer := range peers {
+		if _, silent := d.silent.Load(peer.Name); !silent {
+			wg.Go(func() { answers[i] = d.probe(ctx, peer, job) })
+		}
+	}
+	wg.Wait()
+	var s survey
+	for i, a := range answers {
+		if a == nil {
+			since, silent := d.silent.Load(peers[i].Name)
+			s.unheard = s.unheard || silent && clock.Since(since.(clock.Instant)) < silentDoubt
 			continue
 		}
-		if probes++; probes > maxProbes || ctx.Err() != nil {
-			break
+		s.open = s.open || a.GetOpen()
+		if a.GetReady() && !s.found {
+			s.found, s.ready = true, peers[i]
 		}
-		probe, cancel := context.WithTimeout(ctx, probeTimeout)
-		resp, err := peer.Client.Ready(probe, connect.NewRequest(&pb.DeskReadyRequest{}))
-		cancel()
-		if err != nil {
-			d.silent.Store(peer.Name, clock.Now())
-			d.Log.Warn().Err(err).Str("peer", peer.Name).Msg("A peer doesn't answer.")
-			continue
+	}
+	return s
+}
+
+// Run asks all peers at intervals, so that it is known which are silent and for how long.
+// It ends with ctx.
+func (d *Desk) Run(ctx context.Context) error {
+	for clock.Pause(ctx, probeInterval) == nil {
+		probes, cancel := context.WithTimeout(ctx, probeInterval)
+		var wg sync.WaitGroup
+		for _, peer := range d.Peers() {
+			wg.Go(func() { d.probe(probes, peer, "") })
 		}
-		if resp.Msg.GetReady() {
-			return peer, true
+		wg.Wait()
+		cancel()
+	}
+	return ctx.Err()
+}
+
+// probe asks one peer, and returns nil when it doesn't answer.
+func (d *Desk) probe(ctx context.Context, peer Peer, job string) *pb.DeskReadyResponse {
+	resp, err := peer.Client.Ready(ctx, connect.NewRequest(&pb.DeskReadyRequest{Job: job}))
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return nil // This process stops.
+	}
+	if err != nil {
+		if _, before := d.silent.LoadOrStore(peer.Name, clock.Now()); !before {
+			d.Log.Warn().Err(err).Str("peer", peer.Name).Msg("Lost a peer.")
 		}
+		return nil
+	}
+	if since, ok := d.silent.LoadAndDelete(peer.Name); ok {
+		d.Log.Info().Str("peer", peer.Name).Dur("silent", clock.Since(since.(clock.Instant))).Msg("A peer is back.")
 	}
-	return Peer{}, false
+	return resp.Msg
 }
 
 // ask makes the call at one peer.
@@ -163,9 +237,12 @@
 	}
 }
 
-// Ready says whether the entry reaches the store.
-func (h Handler) Ready(context.Context, *connect.Request[pb.DeskReadyRequest]) (*connect.Response[pb.DeskReadyResponse], error) {
-	return connect.NewResponse(&pb.DeskReadyResponse{Ready: h.Desk.Current() && h.Desk.Writer.Away() == 0}), nil
+// Ready says whether the entry reaches the store, and whether it may write a job.
+func (h Handler) Ready(_ context.Context, r *connect.Request[pb.DeskReadyRequest]) (*connect.Response[pb.DeskReadyResponse], error) {
+	return connect.NewResponse(&pb.DeskReadyResponse{
+		Ready: h.Desk.Current() && h.Desk.Writer.Away() == 0,
+		Open:  r.Msg.GetJob() != "" && h.Desk.open.has(r.Msg.GetJob()),
+	}), nil
 }
 
 // Submit accepts a job.
@@ -177,7 +254,8 @@
 	if err := j.Validate().Err(); err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
-	return connect.NewResponse(&pb.DeskSubmitResponse{Result: result(h.Desk.submit(ctx, &j))}), nil
+	done := h.Desk.open.begin(j.ID)
+	return connect.NewResponse(&pb.DeskSubmitResponse{Result: result(done(h.Desk.submit(ctx, &j)))}), nil
 }
 
 // State returns a job's state.
