intake: a job that no worker could ever run is refused at once

Cause: such a job was accepted and waited for ever; only the planner knew the workers. While one worker is unknown nothing is refused. Removed, as unused: member.saved, runningUnit.members, ledger.DropAgentRecord, workflow.Job.Work, workflow.Rules.Team, schedule.View.RemoteFactor.

--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -38,7 +38,6 @@
 	asked    clock.Instant // When the last stop was sent.
 	percent  int
 	moved    clock.Instant // When the percent changed last.
-	saved    bool          // It has shown a checkpoint.
 }
 
 func (m *member) step() *workflow.Step { return &m.job.spec.Steps[m.key.Step] }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -16,9 +16,8 @@
 }
 
 type runningUnit struct {
-	job     *job
-	key     ledger.UnitKey
-	members []*member
+	job *job
+	key ledger.UnitKey
 }
 
 type waitingUnit struct {
@@ -89,7 +88,7 @@
 
 // view shows the planner's state to the schedule.
 func (r *reign) view(now time.Time) (*schedule.View, *place) {
-	v := &schedule.View{Now: now, Guaranteed: make(map[string]int), RemoteFactor: r.RemoteFactor}
+	v := &schedule.View{Now: now, Guaranteed: make(map[string]int)}
 	if rules := r.Rules(); rules != nil {
 		for _, t := range rules.Teams {
 			v.Guaranteed[t.Name] = t.Guaranteed
@@ -112,8 +111,8 @@
 		indices[w] = len(v.Workers)
 		p.workers = append(p.workers, w)
 		v.Workers = append(v.Workers, schedule.Worker{
-			Service: w.service, Rack: w.rack, Labels: w.labels, Room: w.room,
-			Open: !w.draining && !w.silent && now >= w.closed && now.Sub(w.received) < silentReport,
+			Worker: w.hardware,
+			Open:   !w.draining && !w.silent && now >= w.closed && now.Sub(w.received) < silentReport,
 		})
 	}
 	return indices
@@ -144,7 +143,6 @@
 		}
 		v.Running[i].Workers = append(v.Running[i].Workers, w)
 		v.Running[i].Stopping = v.Running[i].Stopping || m.status == stopping
-		p.running[i].members = append(p.running[i].members, m)
 	}
 }
 
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -20,9 +20,11 @@
 		w.taken, w.stored = storedEnd{lifetime: l}, storedEnd{lifetime: l}
 		w.health = health{}
 	}
-	w.service, w.rack, w.labels = h.GetService(), h.GetRack(), h.GetLabels()
-	w.room = workflow.Room{
-		MilliCores: int(h.GetMilliCores()), MemoryMB: int(h.GetMemoryMb()), Accelerators: int(h.GetAccelerators()),
+	w.hardware = workflow.Worker{
+		Service: h.GetService(), Rack: h.GetRack(), Labels: h.GetLabels(),
+		Room: workflow.Room{
+			MilliCores: int(h.GetMilliCores()), MemoryMB: int(h.GetMemoryMb()), Accelerators: int(h.GetAccelerators()),
+		},
 	}
 	w.draining = h.GetDraining()
 	if w.lifetime == "" || !m.GetLooked() {
@@ -54,7 +56,6 @@
 			m.percent, m.moved = int(t.GetPercent()), clock.Now()
 		}
 		if t.GetCheckpoint() != "" {
-			m.saved = true
 			r.saveCheckpoint(m, t.GetCheckpoint())
 		}
 	}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -51,11 +51,8 @@
 	version  uint64
 	received clock.Instant // When the newest report came, zero before the first.
 	lifetime string
-	service  string
-	rack     string
+	hardware workflow.Worker
 	zone     string
-	labels   []string
-	room     workflow.Room
 	draining bool
 	silent   bool // The worker doesn't answer its agent.
 	over     []string
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"reflect"
 	"slices"
 	"sync"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"sniperill.example/sniperill/internal/clock"
+	"sniperill.example/sniperill/pkg/workflow"
 )
 
 const (
@@ -38,7 +40,10 @@
 	MaxLease time.Duration
 	// Life tells lives of the agent apart.
 	Life string
-	Log  zerolog.Logger
+	// Announced, if set, is called when the worker offers something else than before. It
+	// must not wait.
+	Announced func(workflow.Worker)
+	Log       zerolog.Logger
 
 	mu          sync.Mutex
 	changed     chan struct{} // Closed and replaced with each change.
@@ -82,6 +87,9 @@
 		h.Log.Info().Stringer("lifetime", b.Lifetime).Dur("left", b.DrainLeft).Msg("The worker is draining.")
 	}
 	b.Draining = b.Draining || same && h.beat.Draining
+	if h.Announced != nil && !reflect.DeepEqual(b.Worker, h.beat.Worker) {
+		h.Announced(b.Worker)
+	}
 	notable := !same || b.Draining != h.beat.Draining
 	if b.Draining {
 		h.drainUntil = clock.Now().Add(b.DrainLeft)
--- a/internal/host/worker.go
+++ b/internal/host/worker.go
@@ -104,12 +104,9 @@
 
 // Beat is what a worker announces of itself at intervals.
 type Beat struct {
+	workflow.Worker
 	Lifetime Lifetime
-	Service  string
-	Rack     string
 	Zone     string
-	Labels   []string
-	Room     workflow.Room
 	Draining bool
 	// DrainLeft is the least time that a draining worker stays.
 	DrainLeft time.Duration
--- a/internal/intake/desk.go
+++ b/internal/intake/desk.go
@@ -28,6 +28,8 @@
 	ErrUnavailable = errors.New("the store can't be reached")
 	// ErrUndecided says that nobody can know yet whether the call took effect.
 	ErrUndecided = errors.New("the outcome is not known yet")
+	// ErrImpossible says that no worker could ever run the job, so that it was not accepted.
+	ErrImpossible = errors.New("no worker can run the job")
 )
 
 // currentAge is the age of the newest complete read up to which the ledger counts as
@@ -67,6 +69,9 @@
 
 // Submit accepts a job once, whichever entry it is submitted to and however often.
 func (d *Desk) Submit(ctx context.Context, j *workflow.Job) error {
+	if err := d.possible(j); err != nil {
+		return err
+	}
 	done := d.open.begin(j.ID)
 	err := d.do(ctx, call{
 		name: "submit", job: j.ID, runs: true,
@@ -104,6 +109,21 @@
 	return nil
 }
 
+// possible refuses a job that would not fit if all workers were empty. While a worker is
+// still unknown, and for a job that may have been accepted before, nothing is refused.
+func (d *Desk) possible(j *workflow.Job) error {
+	workers, complete := d.Ledger.Workers()
+	if _, known := d.Ledger.Job(j.ID); known || !complete || !d.Current() || d.open.has(j.ID) {
+		return nil
+	}
+	if err := workers.CanRun(j); err != nil {
+		d.Log.Info().Err(err).Str("job", j.ID).Str("team", j.Team).Str("queue", j.Queue.Name).
+			Int("workers", len(workers)).Msg("Refused a job that no worker can run.")
+		return fmt.Errorf("intake.Desk: %w: %w", ErrImpossible, err)
+	}
+	return nil
+}
+
 // awaitOpen waits until an earlier write of the same job is settled.
 func (d *Desk) awaitOpen(ctx context.Context, id string) error {
 	settled := d.open.settled(id)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -85,6 +85,19 @@
 // Agents returns the addresses of all agents that have said where they are.
 func (l *Ledger) Agents() []Address { return addresses(&l.agents) }
 
+// Workers returns the workers of all agents, and whether all of them are known.
+func (l *Ledger) Workers() (workers workflow.WorkerList, complete bool) {
+	complete = true
+	for _, a := range l.Agents() {
+		if a.Worker == nil {
+			complete = false
+			continue
+		}
+		workers = append(workers, *a.Worker)
+	}
+	return workers, complete && len(workers) > 0
+}
+
 func addresses(m *sync.Map) []Address {
 	var out []Address
 	m.Range(func(_, v any) bool {
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -25,6 +25,8 @@
 	Name    string `json:"name"`
 	Address string `json:"address"` // IP and port.
 	Zone    string `json:"zone"`
+	// Worker is what the worker beside an agent offers, nil while that is not known.
+	Worker *workflow.Worker `json:"worker,omitempty"`
 }
 
 // Planner names the process that plans.
@@ -82,9 +84,6 @@
 	}
 }
 
-// DropAgentRecord removes the address of an agent that is gone.
-func DropAgentRecord(name string) journal.Record { return journal.Record{Key: agentPrefix + name} }
-
 // cut splits a key into its prefix and the id behind it.
 func cut(key string) (prefix, id string) {
 	i := strings.IndexByte(key, '/')
--- a/internal/schedule/load_test.go
+++ b/internal/schedule/load_test.go
@@ -207,7 +207,7 @@
 }
 
 func (l *load) plan() {
-	v := &schedule.View{Now: l.now, Workers: l.workers, Guaranteed: make(map[string]int), RemoteFactor: 3}
+	v := &schedule.View{Now: l.now, Workers: l.workers, Guaranteed: make(map[string]int)}
 	names := []string{"a", "b", "c", "d"}
 	for _, n := range names {
 		v.Guaranteed[n] = sureEach
@@ -304,7 +304,7 @@
 		l := newLoad(chalk, 128000, 262144, seed)
 		l.run()
 		for _, j := range l.jobs {
-			if j.ended.IsZero() && (!j.step.Gang || fitsEmpty(l.workers, j.step)) {
+			if j.ended.IsZero() && l.offers().CanRun(&workflow.Job{Queue: workflow.Queue{Service: "s"}, Steps: []workflow.Step{*j.step}}) == nil {
 				t.Errorf("seed %d: job %d (%d tasks of %d accelerators) has not ended after %v",
 					seed, j.number, j.step.Count, j.step.Room.Accelerators, l.now.Sub(epoch))
 			}
@@ -312,13 +312,12 @@
 	}
 }
 
-// fitsEmpty says whether all tasks of a step fit at once.
-func fitsEmpty(workers []schedule.Worker, s *workflow.Step) bool {
-	n := 0
-	for _, w := range workers {
-		n += w.Room.Times(s.Room, s.Count)
+// offers returns what the workers offer.
+func (l *load) offers() (out workflow.WorkerList) {
+	for _, w := range l.workers {
+		out = append(out, w.Worker)
 	}
-	return n >= s.Count
+	return out
 }
 
 // BenchmarkLoad plays days with bursts of urgent and of large work, with estimates that
--- a/internal/schedule/place.go
+++ b/internal/schedule/place.go
@@ -9,9 +9,7 @@
 // may says whether the unit's tasks may run on the worker at all.
 func (p *planner) may(w *Waiting, worker int) bool {
 	o := &p.Workers[worker]
-	return o.Open && o.Service == w.Service && worker != w.Avoid &&
-		(w.Step.Label == "" || slices.Contains(o.Labels, w.Step.Label)) &&
-		o.Room.Fits(w.Step.Claimed())
+	return o.Open && worker != w.Avoid && o.Takes(w.Service, w.Step)
 }
 
 // perWorker returns how many more of the unit's tasks the spreading rule allows there.
--- a/internal/schedule/plan_test.go
+++ b/internal/schedule/plan_test.go
@@ -17,10 +17,10 @@
 func fleet(n int) []schedule.Worker {
 	out := make([]schedule.Worker, n)
 	for i := range out {
-		out[i] = schedule.Worker{
-			Service: "s", Rack: fmt.Sprintf("r1-%d", i/3), Open: true,
+		out[i] = schedule.Worker{Open: true, Worker: workflow.Worker{
+			Service: "s", Rack: fmt.Sprintf("r1-%d", i/3),
 			Room: workflow.Room{MilliCores: 128000, MemoryMB: 262144, Accelerators: 8},
-		}
+		}}
 	}
 	return out
 }
--- a/internal/schedule/view.go
+++ b/internal/schedule/view.go
@@ -8,10 +8,7 @@
 
 // Worker is a worker that may take tasks.
 type Worker struct {
-	Service string
-	Rack    string
-	Labels  []string
-	Room    workflow.Room
+	workflow.Worker
 	// Open says that the worker takes new tasks: it is alive, not draining and not quarantined.
 	Open bool
 }
@@ -80,8 +77,6 @@
 	Beside []map[int]int
 	// Guaranteed accelerators by team.
 	Guaranteed map[string]int
-	// RemoteFactor is how many times as long tasks take away from their data or rack.
-	RemoteFactor float64
 }
 
 // Start says where a waiting task or gang starts.
--- a/internal/standin/executor.go
+++ b/internal/standin/executor.go
@@ -81,7 +81,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return host.Beat{
-		Lifetime: e.Lifetime, Service: service, Rack: rack, Labels: []string{rack}, Room: e.Room, Sequence: sequence,
+		Lifetime: e.Lifetime, Sequence: sequence,
+		Worker: workflow.Worker{Service: service, Rack: rack, Labels: []string{rack}, Room: e.Room},
 	}
 }
 
--- a/pkg/workflow/job.go
+++ b/pkg/workflow/job.go
@@ -86,16 +86,6 @@
 	return longest
 }
 
-// Work returns the estimated core time of one occurrence.
-func (j *Job) Work() time.Duration {
-	var sum time.Duration
-	for i := range j.Steps {
-		s := &j.Steps[i]
-		sum += time.Duration(s.Count) * s.Estimate * time.Duration(s.Cores()) / 1000
-	}
-	return sum
-}
-
 // Validate lists what is wrong with the job.
 func (j *Job) Validate() shop.ProblemList {
 	var l shop.ProblemList
--- a/pkg/workflow/rules.go
+++ b/pkg/workflow/rules.go
@@ -75,15 +75,6 @@
 	return r.Queues[i], true
 }
 
-// Team returns the team of that name.
-func (r *Rules) Team(name string) (Team, bool) {
-	i := slices.IndexFunc(r.Teams, func(t Team) bool { return t.Name == name })
-	if i < 0 {
-		return Team{}, false
-	}
-	return r.Teams[i], true
-}
-
 // Authenticate returns the team that holds the key.
 func (r *Rules) Authenticate(key string) (Team, bool) {
 	if key == "" {
--- /dev/null
+++ b/pkg/workflow/worker.go
@@ -0,0 +1,58 @@
+package workflow
+
+import (
+	"fmt"
+	"slices"
+
+	"sniperill.example/sniperill/pkg/shop"
+)
+
+// Worker is what a worker offers to tasks.
+type Worker struct {
+	Service string   `json:"service"`
+	Rack    string   `json:"rack,omitempty"`
+	Labels  []string `json:"labels,omitempty"`
+	Room    Room     `json:"room"`
+}
+
+// Takes says whether the worker could run a task of a service's step if it were empty.
+func (w *Worker) Takes(service string, s *Step) bool {
+	return w.Service == service && (s.Label == "" || slices.Contains(w.Labels, s.Label)) && w.Room.Fits(s.Claimed())
+}
+
+// WorkerList is the workers of a deployment.
+type WorkerList []Worker
+
+// CanRun fails with shop.ErrNeverFits when a step of the job would not fit if all workers
+// were empty.
+func (l WorkerList) CanRun(j *Job) error {
+	for i := range j.Steps {
+		if err := l.canHold(j.Queue.Service, &j.Steps[i]); err != nil {
+			return fmt.Errorf("workflow.CanRun: steps[%d]: %w", i, err)
+		}
+	}
+	return nil
+}
+
+func (l WorkerList) canHold(service string, s *Step) error {
+	needed := 1
+	if s.Gang {
+		needed = s.Count
+	}
+	tasks := 0
+	for i := range l {
+		if !l[i].Takes(service, s) {
+			continue
+		}
+		n := l[i].Room.Times(s.Claimed(), needed)
+		if s.MaxPerWorker > 0 {
+			n = min(n, s.MaxPerWorker)
+		}
+		tasks += n
+	}
+	if tasks >= needed {
+		return nil
+	}
+	return fmt.Errorf("%d of %d tasks that start together fit on the workers of service %q with label %q, each needs %+v: %w",
+		tasks, needed, service, s.Label, s.Room, shop.ErrNeverFits)
+}
