--- a/internal/intake/desk.go
+++ b/internal/intake/desk.go
@@ -81,7 +81,11 @@
 		err := d.submitOnce(ctx, j)
 		// What can't be refused is tried until the time is over: a caller that is told at
 		// once that the outcome is open spends its tries within a moment.
-		if !errors.Is(err, errMayBeWritten) || clock.Pause(ctx, openRetry) != nil {
+		if !errors.Is(err, errMayBeWritten) {
+			return err
+		}
+		if clock.Pause(ctx, openRetry) != nil {
+			d.Log.Warn().Err(err).Str("job", j.ID).Msg("A job was not refused, as an earlier call may be written.")
 			return err
 		}
 	}
