--- a/internal/schedule/load_test.go
+++ b/internal/schedule/load_test.go
@@ -158,9 +158,9 @@
 			arrivals = arrivals[1:]
 			changed = true
 		}
-		ended, any := l.end()
+		ended, freed := l.end()
 		left -= ended
-		if changed || any {
+		if changed || freed {
 			l.plan()
 		}
 		if l.now.Sub(epoch) > 10*loadDay {
@@ -181,8 +181,8 @@
 	}
 }
 
-// end takes in what has ended; any says that room came free.
-func (l *load) end() (jobs int, any bool) {
+// end takes in what has ended; freed says that room came free.
+func (l *load) end() (jobs int, freed bool) {
 	l.units = slices.DeleteFunc(l.units, func(u *loadUnit) bool {
 		switch {
 		case u.workers == nil:
@@ -191,19 +191,19 @@
 			if l.now.Before(u.stopped) {
 				return false
 			}
-			u.workers, u.stopped, u.ready, any = nil, time.Time{}, l.now, true
+			u.workers, u.stopped, u.ready, freed = nil, time.Time{}, l.now, true
 			return false
 		case l.now.Before(u.started.Add(u.left)):
 			return false
 		}
-		any = true
+		freed = true
 		if u.job.tasks--; u.job.tasks == 0 {
 			u.job.ended = l.now
 			jobs++
 		}
 		return true
 	})
-	return jobs, any
+	return jobs, freed
 }
 
 func (l *load) plan() {
