--- a/cmd/sniperill/check.go
+++ b/cmd/sniperill/check.go
@@ -11,6 +11,7 @@
 
 	"sniperill.example/sniperill/internal/settings"
 	"sniperill.example/sniperill/pkg/shop"
+	"sniperill.example/sniperill/platform"
 )
 
 const helpCheck = `Checks a settings file, a configuration folder, or both, and lists every mistake
@@ -23,8 +24,8 @@
 knows the hardware. Exits with status 1 when there is a mistake.`
 
 var (
-	errCheckNothing = errors.New("check: name --settings entry|agent|stand-in FILE or --config FOLDER")
-	errCheckRole    = errors.New("check: --settings must be entry, agent or stand-in")
+	errCheckNothing = errors.New("check: name --settings entry|agent|stand-in|platform FILE or --config FOLDER")
+	errCheckRole    = errors.New("check: --settings must be entry, agent, stand-in or platform")
 )
 
 func checkCommand() *cli.Command {
@@ -34,7 +35,7 @@
 		Description: helpCheck,
 		ArgsUsage:   "[FILE]",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "settings", Usage: "role that the settings FILE is for: entry, agent or stand-in"},
+			&cli.StringFlag{Name: "settings", Usage: "role that the settings FILE is for: entry, agent, stand-in or platform (any process there)"},
 			&cli.StringFlag{Name: "config", Usage: "configuration folder"},
 			jsonFlag(),
 		},
@@ -109,6 +110,9 @@
 	case "stand-in":
 		var s settings.StandIn
 		return settings.Read(file, &s)
+	case "platform":
+		_, err := platform.ReadSettingsFile(file)
+		return err
 	default:
 		return errCheckRole
 	}
--- a/cmd/sniperill/main_test.go
+++ b/cmd/sniperill/main_test.go
@@ -49,26 +49,44 @@
 }
 
 func TestCheck(t *testing.T) {
-	folder := t.TempDir()
-	file := filepath.Join(folder, "worker.json")
-	if err := os.WriteFile(file, []byte(`{"listen": "7100", "slots": -1, "colour": "red"}`), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	out, err := run(t, "check", "--json", "--settings", "stand-in", file)
-	if exitStatus(err) != exitError {
-		t.Errorf("status of %v", err)
-	}
-	var got checked
-	if err := json.Unmarshal([]byte(out), &got); err != nil {
-		t.Fatal(err)
+	tests := []struct {
+		role, text string
+		want       shop.ProblemList
+	}{
+		{"stand-in", `{"listen": "7100", "slots": -1, "colour": "red"}`, shop.ProblemList{
+			{Field: "colour", Value: `"red"`, Message: "is not a known field"},
+			{Field: "listen", Value: "7100", Message: "must be host:port"},
+			{Field: "slots", Value: "-1", Message: "must not be below 0"},
+		}},
+		{"platform", `{"name": "front-1", "ip": "10.1.0.x", "store": "10.200.1.7:8524", "ports": [7000],
+			"bounds": {"lease-ms": "10000", "stop-timeout-ms": 200, "remote-factor": 3, "status-s": 120, "grace-s": 0}}`, shop.ProblemList{
+			{Field: "bounds.lease-ms", Value: `"10000"`, Message: "must be a float64, not a string"},
+			{Field: "ip", Value: "10.1.0.x", Message: "must be an IP address"},
+			{Field: "ports", Value: "[7000]", Message: "must be the first and the last of two ports or more"},
+			{Field: "bounds.grace-s", Value: "0", Message: "must be above zero"},
+		}},
 	}
-	want := checked{Problems: shop.ProblemList{
-		{File: file, Field: "colour", Value: `"red"`, Message: "is not a known field"},
-		{File: file, Field: "listen", Value: "7100", Message: "must be host:port"},
-		{File: file, Field: "slots", Value: "-1", Message: "must not be below 0"},
-	}}
-	if d := cmp.Diff(want, got); d != "" {
-		t.Error(d)
+	for _, tt := range tests {
+		t.Run(tt.role, func(t *testing.T) {
+			file := filepath.Join(t.TempDir(), "settings.json")
+			if err := os.WriteFile(file, []byte(tt.text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			out, err := run(t, "check", "--json", "--settings", tt.role, file)
+			if exitStatus(err) != exitError {
+				t.Errorf("status of %v", err)
+			}
+			var got checked
+			if err := json.Unmarshal([]byte(out), &got); err != nil {
+				t.Fatal(err)
+			}
+			for i := range tt.want {
+				tt.want[i].File = file
+			}
+			if d := cmp.Diff(checked{Problems: tt.want}, got); d != "" {
+				t.Errorf("problems (-want +got):\n%s", d)
+			}
+		})
 	}
 }
 
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -17,6 +17,8 @@
 	progress  ledger.Progress
 	cancelled bool
 	dirty     bool
+	ended     clock.Instant // When this planner made it final, zero if it didn't.
+	told      bool          // Its final state has been handed to the store.
 	units     map[ledger.UnitKey]*unit
 }
 
@@ -136,7 +138,13 @@
 			}
 		}
 	}
-	j.progress.State = shop.Done
-	j.dirty = true
+	j.finish(shop.Done)
 	return true
 }
+
+// finish makes the job final.
+func (j *job) finish(state shop.JobState) {
+	j.progress.State = state
+	j.ended = clock.Now()
+	j.dirty = true
+}
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -119,7 +119,7 @@
 	if u.Failures < max(1, r.queue(m.job).MaxAttempts) || m.job.final() {
 		return
 	}
-	m.job.progress.State = shop.Failed
+	m.job.finish(shop.Failed)
 	r.Log.Info().Str("job", m.job.spec.ID).Str("task", m.task).Int("failures", u.Failures).
 		Msg("A job has failed: a task has no attempts left.")
 }
--- a/internal/dispatch/reign.go
+++ b/internal/dispatch/reign.go
@@ -228,10 +228,10 @@
 	r.takeChanges()
 	r.sweep()
 	started := r.plan()
-	records, stored := r.collect()
+	b := r.collect()
 	r.mu.Unlock()
-	if len(records) > 0 {
-		if err := r.store(ctx, records); err != nil {
+	if len(b.records) > 0 {
+		if err := r.store(ctx, b.records); err != nil {
 			return err
 		}
 	}
@@ -242,9 +242,13 @@
 			m.status = starting
 		}
 	}
-	for w, end := range stored {
+	for w, end := range b.ends {
 		w.noteStored(end)
 	}
+	for _, j := range b.final {
+		r.Log.Info().Str("job", j.spec.ID).Str("state", string(j.progress.State)).Dur("took", clock.Since(j.ended)).
+			Msg("A job's final state is stored.")
+	}
 	for _, w := range r.workers {
 		w.wakeOrders()
 	}
@@ -290,31 +294,41 @@
 	clear(r.changed)
 }
 
-// collect returns the records of what changed, and the ends that they store by worker.
-func (r *reign) collect() ([]journal.Record, map[*worker]storedEnd) {
-	var out []journal.Record
+// batch is what a pass stores.
+type batch struct {
+	records []journal.Record
+	ends    map[*worker]storedEnd // Up to which number ends are stored by it.
+	final   []*job                // Whose final state it stores.
+}
+
+// collect returns what changed.
+func (r *reign) collect() batch {
+	b := batch{ends: make(map[*worker]storedEnd)}
 	for id, j := range r.jobs {
 		switch {
 		case j.dirty:
 			j.dirty = false
-			out = append(out, ledger.ProgressRecord(id, j.progress.Clone()))
+			b.records = append(b.records, ledger.ProgressRecord(id, j.progress.Clone()))
+			if j.ended != 0 && !j.told {
+				j.told = true
+				b.final = append(b.final, j)
+			}
 		case r.expired(j):
-			out = append(out, ledger.DropRecords(id)...)
+			b.records = append(b.records, ledger.DropRecords(id)...)
 			delete(r.jobs, id)
 		}
 	}
 	// Progress names no epoch, so only a beat tells the others that this planner lives.
 	if now := clock.Now(); now.Sub(r.beaten) > beatInterval {
 		r.beaten = now
-		out = append(out, ledger.BeatRecord(r.epoch))
+		b.records = append(b.records, ledger.BeatRecord(r.epoch))
 	}
-	stored := make(map[*worker]storedEnd)
 	for _, w := range r.workers {
 		if w.taken.number > w.stored.number || w.taken.lifetime != w.stored.lifetime {
-			stored[w] = w.taken
+			b.ends[w] = w.taken
 		}
 	}
-	return out, stored
+	return b
 }
 
 // expired says whether a job has been final for so long that nobody asks for it.
--- a/internal/schedule/load_test.go
+++ b/internal/schedule/load_test.go
@@ -99,6 +99,8 @@
 	jobs    []*loadJob
 	units   []*loadUnit
 	lost    float64 // Core seconds.
+	// powerLoss is when all workers lose what runs on them, zero for never.
+	powerLoss time.Duration
 }
 
 func newLoad(classes []class, milliCores, memory int, seed uint64) *load {
@@ -158,6 +160,10 @@
 			arrivals = arrivals[1:]
 			changed = true
 		}
+		if l.powerLoss > 0 && l.now.Sub(epoch) == l.powerLoss {
+			l.restart()
+			changed = true
+		}
 		ended, freed := l.end()
 		left -= ended
 		if changed || freed {
@@ -170,6 +176,15 @@
 	return l.result()
 }
 
+// restart lets all workers lose what runs on them.
+func (l *load) restart() {
+	for _, u := range l.units {
+		if u.workers != nil {
+			u.workers, u.stopped, u.ready, u.left = nil, time.Time{}, l.now, u.job.work
+		}
+	}
+}
+
 func (l *load) enter(j *loadJob) {
 	n, members := j.step.Count, 1
 	if j.step.Gang {
@@ -327,15 +342,20 @@
 		name               string
 		classes            []class
 		milliCores, memory int
+		powerLoss          time.Duration
 	}{
-		{"chalk", chalk, 128000, 262144},
-		{"aprons", aprons, 32000, 131072},
+		{"chalk", chalk, 128000, 262144, 0},
+		{"aprons", aprons, 32000, 131072, 0},
+		{"chalk-power-loss", chalk, 128000, 262144, 34 * time.Second},
+		{"aprons-power-loss", aprons, 32000, 131072, 34 * time.Second},
 	}
 	for _, tt := range tests {
 		b.Run(tt.name, func(b *testing.B) {
 			var sum loadResult
 			for i := range b.N {
-				r := newLoad(tt.classes, tt.milliCores, tt.memory, uint64(i)).run()
+				l := newLoad(tt.classes, tt.milliCores, tt.memory, uint64(i))
+				l.powerLoss = tt.powerLoss
+				r := l.run()
 				sum.whole += r.whole
 				sum.windows += r.windows
 				sum.wasted += r.wasted
--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -94,9 +94,27 @@
 		add("task %s failed %s times, which is all that its queue allows", l.Text("task"), l.Text("failures"))
 	}
 	out = append(out, s.waits()...)
+	out = append(out, s.storing()...)
 	return slices.Compact(out)
 }
 
+// slowStore is the time from a job's end until that is stored that is worth a word; a calm
+// one takes 20 ms.
+const slowStore = 300 * time.Millisecond
+
+// storing says how long the job's end could not be stored.
+func (s Story) storing() []string {
+	var out []string
+	for _, l := range s.named("A job's final state is stored.") {
+		ms, err := strconv.ParseFloat(l.Text("took"), 64)
+		took := time.Duration(ms * float64(time.Millisecond))
+		if err == nil && took >= slowStore {
+			out = append(out, fmt.Sprintf("its end was known %v before it could be stored; callers see it from then on", took.Round(time.Millisecond)))
+		}
+	}
+	return out
+}
+
 // slowStart is the wait for a first start that is worth a word; a calm one takes 40 ms.
 const slowStart = 300 * time.Millisecond
 
--- a/internal/story/story_test.go
+++ b/internal/story/story_test.go
@@ -19,6 +19,8 @@
 {"level":"info","process":"entry-b","time":"2026-07-19T10:03:46.200Z","task":"aa11.0.0.0","run":1,"end":3,"why":"listed","message":"A run is over."}
 {"level":"warn","process":"entry-a","time":"2026-07-19T10:03:47.000Z","job":"cc33","error":"store unavailable","not_run":true,"message":"A call could not be written."}
 {"level":"info","process":"entry-a","time":"2026-07-19T10:03:47.001Z","method":"POST","path":"/q/cc33","status":503,"why":"not run: the store can't be reached","message":"Answered a call."}
+{"level":"info","process":"entry-b","time":"2026-07-19T10:03:48.000Z","job":"ee55","state":"done","took":12.5,"message":"A job's final state is stored."}
+{"level":"info","process":"entry-b","time":"2026-07-19T10:03:48.000Z","job":"ff66","state":"done","took":2801.25,"message":"A job's final state is stored."}
 {"broken
 `
 
@@ -40,6 +42,8 @@
 		{"bb22", 1, nil},
 		{"cc33", 2, []string{"POST was answered 503 at entry-a: not run: the store can't be reached"}},
 		{"dd44", 0, nil},
+		{"ee55", 1, nil},
+		{"ff66", 1, []string{"its end was known 2.801s before it could be stored; callers see it from then on"}},
 	}
 	for _, tt := range tests {
 		s := story.Tell(lines, tt.id)
