placement: firm work counts only on owned cores behind the accelerators that it gets

Owned and unowned room were both promised: 33 GiB of a worker's 32. Change: counting takes accelerators in the order in which they are assigned.

--- a/internal/placement/fit_test.go
+++ b/internal/placement/fit_test.go
@@ -259,3 +259,43 @@
 		})
 	}
 }
+
+// An owner's firm work that is given free accelerators nobody owns draws on no owned cores.
+// It must not count on those behind its own accelerators, which a borrower goes on using.
+func TestFirmWorkCountsOnTheAcceleratorsItGets(t *testing.T) {
+	workers, owned, teams := pairShop()
+	own := owned[0]
+	workers[0].Free &^= own.Accelerators
+	firm := shop.Shape{Tasks: 1, Cores: workers[0].Cores - own.Cores}
+	workers[0].FreeCores -= firm.Cores
+	now := time.Unix(0, 0)
+	tests := []struct {
+		name  string
+		q     Request
+		want  bool
+		evict []int
+	}{
+		{"on its own accelerators", Request{Own: true, Evict: EvictBorrowers}, true, []int{1}},
+		{"anywhere on the worker", Request{Evict: EvictLower}, false, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := NewFleet(workers[:1], owned, teams)
+			f.Occupy([]Running{
+				{Shape: firm, Occupant: Occupant{Job: 0, Team: 1, Tasks: 1, Cores: firm.Cores, Started: now, End: now}},
+				{Shape: shop.Shape{Tasks: 1, Accelerators: own.Accelerators.Len()}, Occupant: Occupant{
+					Job: 1, Team: 1, Tasks: 1, Mask: own.Accelerators, Preemptible: true, Started: now, End: now,
+				}},
+			}, 2)
+			q := tt.q
+			q.Shape = shop.Shape{Tasks: 1, Accelerators: own.Accelerators.Len(), Cores: own.Cores, Adjacency: shop.SameWorker}
+			got, ok := f.Fit(q)
+			if ok != tt.want {
+				t.Errorf("Fit: %v at %v, want %v", ok, got.Parts, tt.want)
+			}
+			if d := cmp.Diff(tt.evict, got.Evict); d != "" {
+				t.Errorf("evicted (-want +got):\n%s", d)
+			}
+		})
+	}
+}
--- a/internal/placement/hold.go
+++ b/internal/placement/hold.go
@@ -214,6 +214,7 @@
 	if q.Holds != IgnoreHolds {
 		mask &^= heldMask
 	}
+	r.free |= mask
 	r.own |= mask & own
 	other := mask &^ own
 	if !q.Preemptible {
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -63,7 +63,9 @@
 
 // room is what a request finds on one worker.
 type room struct {
-	own, other            shop.Mask
+	own, other shop.Mask
+	// free is what needs no eviction of these.
+	free                  shop.Mask
 	cores                 int
 	memory                int64
 	ownCores, poolCores   int
@@ -115,6 +117,7 @@
 		free |= f.addEvictable(n, q, own, &r)
 	}
 	free &^= f.subtractHeld(i, q, &r)
+	r.free = free & n.Free
 	r.own = free & own
 	if q.Own {
 		return r
@@ -193,22 +196,44 @@
 	return away.other
 }
 
+// accelerators is how many of a room are left, by what taking them costs.
+type accelerators struct{ ownFree, otherFree, ownTaken, otherTaken int }
+
+func (r *room) accelerators() accelerators {
+	own, other := (r.own & r.free).Len(), (r.other & r.free).Len()
+	return accelerators{own, other, r.own.Len() - own, r.other.Len() - other}
+}
+
+// take removes n in the order in which they are assigned, and returns how many of them the
+// team owns; false when there are fewer.
+func (a *accelerators) take(n int) (own int, ok bool) {
+	for _, kind := range [...]struct {
+		left *int
+		own  bool
+	}{{&a.ownFree, true}, {&a.otherFree, false}, {&a.ownTaken, true}, {&a.otherTaken, false}} {
+		m := min(n, *kind.left)
+		*kind.left -= m
+		n -= m
+		if kind.own {
+			own += m
+		}
+	}
+	return own, n == 0
+}
+
 // count returns how many tasks of the request fit in a room, at most limit.
 func (f *Fleet) count(r room, q *Request, limit int) int {
-	own, other := r.own.Len(), r.other.Len()
-	a := q.Shape.Accelerators
+	left := r.accelerators()
 	memory := int64(q.Shape.Memory)
 	n := 0
 	for n < limit {
-		on := min(own, a)
-		if a-on > other || lacks(r.cores, q.Shape.Cores) || lacks(r.memory, memory) {
+		own, ok := left.take(q.Shape.Accelerators)
+		if !ok || lacks(r.cores, q.Shape.Cores) || lacks(r.memory, memory) {
 			break
 		}
-		own -= on
-		other -= a - on
 		r.cores -= q.Shape.Cores
 		r.memory -= memory
-		if !q.Preemptible && !f.countFirm(&r, q, on) {
+		if !q.Preemptible && !f.countFirm(&r, q, own) {
 			break
 		}
 		n++
