host: no end is acknowledged to a worker that may be in another life

After a crash the agent's next look acknowledged the ends of the life before, up to their number; the next life under the same id took that for its own first ends and never listed them. The planner gave the task up as standing still and ran it again, though it had been done. Left: a worker that crashes and answers under its id within the 40 ms between two looks, without one failing. Test: TestEndsOfTheNextLifeAreHeard, failing before.

--- a/internal/dispatch/path_test.go
+++ b/internal/dispatch/path_test.go
@@ -221,3 +221,24 @@
 		}
 	})
 }
+
+// A worker crashes and starts again under its id. Ends of the new life have the numbers of ends
+// that were acknowledged in the life before; they must be heard all the same.
+func TestEndsOfTheNextLifeAreHeard(t *testing.T) {
+	virtually(t, func(t *testing.T) {
+		c := newCluster(t, 2, 1)
+		a := c.agents[0]
+		time.Sleep(3 * time.Second)
+		c.submit("a", "red", "batch", many(task(0.5, 1), 8))
+		c.await(5*time.Second, shop.Done, "a")
+		c.submit("long", "red", "batch", task(3, 1)) // It has to be stopped in the new life first.
+		time.Sleep(100 * time.Millisecond)
+		a.machine.Executor().Crash()
+		a.machine.Enter(c.newExecutor(a.name, 2))
+		time.Sleep(300 * time.Millisecond) // The agent tries again meanwhile.
+		a.host.Beat(a.machine.Executor().Beat("s", "r1-0", a.beats.Add(1)))
+		c.submit("b", "red", "batch", many(task(0.5, 1), 2))
+		c.await(5*time.Second, shop.Done, "b")
+		c.once("b.0.0.0", "b.0.0.1")
+	})
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -208,14 +208,17 @@
 	if h.lifetime.ID == "" || h.epoch == 0 {
 		return Hold{}, false
 	}
-	hold := Hold{Lifetime: h.lifetime.String(), Epoch: h.epoch, Seen: h.stored, Wait: lookWait}
-	if !h.unreachable {
-		// A call without an answer may still extend the lease. One that doesn't answer
-		// gets no more, so that the lease is known to end.
-		hold.Until = h.lease.end(clock.Now())
+	hold := Hold{Lifetime: h.lifetime.String(), Epoch: h.epoch}
+	if h.unreachable {
+		// A call without an answer may still extend the lease, so a worker that doesn't answer
+		// gets no more. Nor is an end acknowledged: what answers next may be another life
+		// under the same id, in which the number stands for an end to come.
+		return hold, true
 	}
-	if h.lease.shown == 0 {
-		hold.Wait = 0 // The lease can be renewed once the worker's clock is known.
+	hold.Seen = h.stored
+	hold.Until = h.lease.end(clock.Now())
+	if h.lease.shown != 0 { // Before, the worker's clock is asked for, to renew the lease at once.
+		hold.Wait = lookWait
 	}
 	return hold, true
 }
--- a/internal/host/orders.go
+++ b/internal/host/orders.go
@@ -112,10 +112,7 @@
 	}
 	_ = group.Wait() // The functions report by result and return no error.
 
-	h.mu.Lock()
-	hold := Hold{Lifetime: lifetime, Epoch: epoch, Seen: h.stored}
-	h.mu.Unlock()
-	look, err := h.look(ctx, hold)
+	look, err := h.look(ctx, Hold{Lifetime: lifetime, Epoch: epoch})
 	if err != nil {
 		for _, r := range results {
 			r.Outcome, r.Detail = pb.Outcome_OUTCOME_UNKNOWN, "look after the stop: "+err.Error()
