--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -41,6 +41,9 @@
 			Dur("lost", view.Running[s.Running].Lost).Msg("A run gives way.")
 		r.haltUnit(u.job, u.key)
 	}
+	for _, u := range p.waiting {
+		u.job.unit(u.key).kept = nil
+	}
 	for _, k := range next.Keeps {
 		u := p.waiting[k.Waiting]
 		live := u.job.unit(u.key)
@@ -202,7 +205,6 @@
 					w.Kept = append(w.Kept, i)
 				}
 			}
-			live.kept = nil // The plan says whether it is still kept.
 			v.Waiting = append(v.Waiting, w)
 			p.waiting = append(p.waiting, waitingUnit{j, k})
 		})
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -257,10 +257,15 @@
 	return look, nil
 }
 
-// meet takes in that the worker shows another lifetime than it announced.
+// meet takes in that the worker shows another lifetime than it announced. The caller holds
+// the lock.
 func (h *Host) meet(look Look) error {
 	h.Log.Warn().Str("shown", look.Lifetime).Stringer("announced", h.lifetime).
 		Msg("The worker shows another lifetime.")
+	if !h.unreachable {
+		h.unreachable = true // The life that was announced doesn't answer any more.
+		h.change()
+	}
 	return ErrOtherLifetime
 }
 
--- a/internal/intake/desk.go
+++ b/internal/intake/desk.go
@@ -132,8 +132,11 @@
 // possible refuses a job that would not fit if all workers were empty. While a worker is
 // still unknown, and for a job that may have been accepted before, nothing is refused.
 func (d *Desk) possible(j *workflow.Job) error {
+	if _, known := d.Ledger.Job(j.ID); known || !d.Current() || d.open.has(j.ID) {
+		return nil
+	}
 	workers, complete := d.Ledger.Workers()
-	if _, known := d.Ledger.Job(j.ID); known || !complete || !d.Current() || d.open.has(j.ID) {
+	if !complete {
 		return nil
 	}
 	if err := workers.CanRun(j); err != nil {
