platform: sniperill platform try runs entries and agents on emulations of the platform

One process: the store and the workers over HTTP as the platform speaks, entries and agents with their own settings, and jobs that are run, refused and cancelled as callers see it, judged by what the workers ran.

--- a/cmd/sniperill/platform.go
+++ b/cmd/sniperill/platform.go
@@ -10,11 +10,14 @@
 	"github.com/rs/zerolog"
 	"github.com/urfave/cli/v3"
 
+	"sniperill.example/sniperill/internal/telemetry"
 	"sniperill.example/sniperill/platform"
 )
 
 const helpPlatform = `Runs a process on the users' platform, which hands it a settings file and keeps
-its state. "entry" takes callers and plans; "agent" runs beside a worker.
+its state. "entry" takes callers and plans; "agent" runs beside a worker. "try" runs
+entries and agents in one process, with emulations of that platform, and a few jobs on
+them; it exits with status 1 when a promise was not kept.
 
 SIGTERM makes it leave: it finishes what is in progress within the time that the
 platform allows. SIGHUP makes it read its settings again.`
@@ -31,6 +34,7 @@
 			platformRole("agent", "run tasks on the worker beside", func(ctx context.Context, s platform.Settings, log zerolog.Logger) error {
 				return platform.Agent{Settings: s, Log: log}.Run(ctx)
 			}),
+			platformTryCommand(),
 		},
 	}
 }
@@ -55,6 +59,32 @@
 	}
 }
 
+// platformTryCommand runs a sample deployment on emulations of the platform.
+func platformTryCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "try",
+		Usage: "run entries and agents in one process on emulations of the platform",
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "entries", Value: 3, Usage: "entries to run"},
+			&cli.IntFlag{Name: "workers", Value: 3, Usage: "workers to emulate, with an agent each"},
+			&cli.BoolFlag{Name: "json", Usage: "print one JSON object"},
+			&cli.StringFlag{Name: "log-level", Value: "error", Usage: "trace, debug, info, warn or error"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			sample := platform.Sample{Entries: c.Int("entries"), Workers: c.Int("workers")}
+			var err error
+			if sample.Log, err = telemetry.NewLogger(os.Stderr, telemetry.LogText, c.String("log-level")); err != nil {
+				return trace.Wrap(err)
+			}
+			report, err := sample.Try(ctx)
+			if err != nil {
+				return trace.Wrap(err)
+			}
+			return showReport(c, report)
+		},
+	}
+}
+
 // reloadSettings reads the settings again at each SIGHUP and says what is wrong with
 // them. Addresses and bounds hold for the life of a process.
 func reloadSettings(ctx context.Context, log zerolog.Logger) {
--- a/cmd/sniperill/try.go
+++ b/cmd/sniperill/try.go
@@ -58,15 +58,22 @@
 	if err := flush(context.WithoutCancel(ctx)); err != nil {
 		return trace.Wrap(err)
 	}
+	return showReport(c, report)
+}
+
+// showReport prints a report as the flags ask, and fails when a promise was not kept.
+func showReport(c *cli.Command, report deployment.Report) error {
+	show := printReport
 	if c.Bool("json") {
-		err = printJSON(c.Writer, report)
-	} else {
-		err = printReport(c.Writer, report)
+		show = func(w io.Writer, r deployment.Report) error { return printJSON(w, r) }
 	}
-	if err == nil && !report.OK {
+	if err := show(c.Writer, report); err != nil {
+		return trace.Wrap(err)
+	}
+	if !report.OK {
 		return errFailed
 	}
-	return trace.Wrap(err)
+	return nil
 }
 
 func startTraces(ctx context.Context, show bool) (func(context.Context) error, error) {
