intake: a job that a peer has accepted is not refused as not run

The caller's repeat was told that the job never runs, while it ran. Change: an entry remembers what it has accepted until its ledger has it, and says so to peers; the repeat is answered as accepted. Jobs that are remembered are swept once a second, not at each call.

--- a/internal/dispatch/desk_test.go
+++ b/internal/dispatch/desk_test.go
@@ -170,3 +170,32 @@
 		c.await(5*time.Second, shop.Done, "open")
 	})
 }
+
+// An entry that is cut off doesn't know a job that another has accepted, and nobody reaches the
+// store when the caller comes back. It must not be told that the job doesn't run.
+func TestAJobThatAPeerHasAcceptedIsNotRefused(t *testing.T) {
+	virtually(t, func(t *testing.T) {
+		c := newCluster(t, 3, 2)
+		time.Sleep(3 * time.Second)
+		cut := c.entries[1]
+		cut.cut.set(true)
+		time.Sleep(3 * time.Second) // A read that was waiting before ends.
+		if err := c.submitAt(c.entries[0], "a", "red", "batch", task(1, 1)); err != nil {
+			t.Fatal(err)
+		}
+		c.store.Break(standin.StoreBusy)
+		cut.cut.set(false)
+		time.Sleep(2 * time.Second)
+		for i, e := range c.entries { // Each finds out that the store is away.
+			if err := c.submitAt(e, fmt.Sprint("b", i), "red", "batch", task(1, 1)); !errors.Is(err, intake.ErrUnavailable) {
+				t.Errorf("submit at %s without the store: %v, want %v", e.name, err, intake.ErrUnavailable)
+			}
+		}
+		if err := c.submitAt(cut, "a", "red", "batch", task(1, 1)); err != nil {
+			t.Errorf("submit again at the entry that is cut off: %v", err)
+		}
+		c.store.Break(standin.StoreSound)
+		c.await(10*time.Second, shop.Done, "a")
+		c.once("a.0.0.0")
+	})
+}
--- a/internal/intake/desk.go
+++ b/internal/intake/desk.go
@@ -117,6 +117,10 @@
 		log.Str("state", string(known.State())).Int64("offset", known.Accepted).Msg("A job was submitted again.")
 		return nil
 	}
+	if d.accepted(j.ID) {
+		log.Msg("A job was submitted again before the journal returned it.")
+		return nil
+	}
 	if err := d.awaitOpen(ctx, j.ID); err != nil {
 		return err
 	}
@@ -129,10 +133,17 @@
 	return nil
 }
 
+// accepted says whether a job is known to be in the journal.
+func (d *Desk) accepted(id string) bool {
+	_, known := d.Ledger.Job(id)
+	_, accepted := d.open.has(id)
+	return known || accepted
+}
+
 // possible refuses a job that would not fit if all workers were empty. While a worker is
 // still unknown, and for a job that may have been accepted before, nothing is refused.
 func (d *Desk) possible(j *workflow.Job) error {
-	if _, known := d.Ledger.Job(j.ID); known || !d.Current() || d.open.has(j.ID) {
+	if open, _ := d.open.has(j.ID); open || d.accepted(j.ID) || !d.Current() {
 		return nil
 	}
 	workers, complete := d.Ledger.Workers()
--- a/internal/intake/open.go
+++ b/internal/intake/open.go
@@ -14,17 +14,27 @@
 // that is late by seconds and callers that come back within their timeout are well within.
 const openFor = 2 * time.Minute
 
-// openJobs remembers the jobs that this entry is writing, has passed on, or could not tell
-// the outcome of, so that no later call says that they have not run. The zero value is empty.
+// acceptedFor is how long an accepted job is remembered here: until the ledger has it, which
+// follows the journal within milliseconds and catches up after an outage of seconds.
+const acceptedFor = 30 * time.Second
+
+// sweepInterval is the least time between two sweeps, which look at all remembered jobs.
+const sweepInterval = time.Second
+
+// openJobs remembers the jobs that this entry is writing, has passed on, could not tell the
+// outcome of, or has just accepted, so that no later call says that they have not run. The zero
+// value is empty.
 type openJobs struct {
-	mu   sync.Mutex
-	jobs map[string]*openJob
+	mu    sync.Mutex
+	jobs  map[string]*openJob
+	swept clock.Instant
 }
 
 type openJob struct {
-	calls   int           // In progress.
-	until   clock.Instant // Of its being open, zero when no outcome was left open.
-	settled <-chan struct{}
+	calls    int           // In progress.
+	until    clock.Instant // Of its being remembered, zero when no outcome was left open.
+	settled  <-chan struct{}
+	accepted bool // It is in the journal; this entry's ledger may not have it yet.
 }
 
 // begin notes that a job is being submitted. The function that it returns ends that: it
@@ -43,9 +53,12 @@
 	defer o.mu.Unlock()
 	j := o.job(id)
 	j.calls--
+	if j.accepted {
+		err = nil // By a call before this one, which could not be told so.
+	}
 	switch {
 	case err == nil:
-		j.until, j.settled = 0, nil // It is in the journal.
+		j.until, j.settled, j.accepted = clock.Now().Add(acceptedFor), nil, true
 	case errors.Is(err, ErrUndecided):
 		j.until = clock.Now().Add(openFor)
 	case errors.Is(err, ErrUnavailable) && (j.until != 0 || j.calls > 0):
@@ -69,13 +82,16 @@
 	j.until, j.settled = clock.Now().Add(openFor), undecided.Settled
 }
 
-// has says whether a job may be written by this entry, or may have been.
-func (o *openJobs) has(id string) bool {
+// has says whether a job may be written by this entry, or may have been, and whether it has been
+// accepted.
+func (o *openJobs) has(id string) (open, accepted bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.sweep()
-	_, ok := o.jobs[id]
-	return ok
+	j, ok := o.jobs[id]
+	if !ok || j.forgotten(clock.Now()) {
+		return false, false
+	}
+	return true, j.accepted
 }
 
 // settled returns a channel that is closed when an own write that was left open is
@@ -102,11 +118,18 @@
 	return j
 }
 
-// sweep forgets jobs whose time has passed. The caller holds the lock.
+// forgotten says whether the job's time has passed.
+func (j *openJob) forgotten(now clock.Instant) bool { return j.calls == 0 && now > j.until }
+
+// sweep removes jobs whose time has passed, once in sweepInterval. The caller holds the lock.
 func (o *openJobs) sweep() {
 	now := clock.Now()
+	if now.Sub(o.swept) < sweepInterval {
+		return
+	}
+	o.swept = now
 	for id, j := range o.jobs {
-		if j.calls == 0 && now > j.until {
+		if j.forgotten(now) {
 			delete(o.jobs, id)
 		}
 	}
--- a/internal/intake/peers.go
+++ b/internal/intake/peers.go
@@ -87,6 +87,10 @@
 // the call came to here.
 func (d *Desk) passOn(ctx context.Context, c call, err error) error {
 	s := d.surveyPeers(ctx, c.job)
+	if c.runs && s.accepted {
+		d.Log.Info().AnErr("own", err).Str("job", c.job).Msg("A job was submitted again; a peer has accepted it.")
+		return nil
+	}
 	if c.runs {
 		err = s.qualify(err)
 	}
@@ -117,6 +121,8 @@
 	// open says that a peer may write the job that the call is about; unheard, that one
 	// which has fallen silent lately may.
 	open, unheard bool
+	// accepted says that a peer knows the job to be in the journal.
+	accepted bool
 }
 
 // qualify turns a refusal into an open outcome when a peer may still write the job.
@@ -155,6 +161,7 @@
 			continue
 		}
 		s.open = s.open || a.GetOpen()
+		s.accepted = s.accepted || a.GetAccepted()
 		if a.GetReady() && !s.found {
 			s.found, s.ready = true, peers[i]
 		}
@@ -240,12 +247,14 @@
 	}
 }
 
-// Ready says whether the entry reaches the store, and whether it may write a job.
+// Ready says whether the entry reaches the store, and what it knows of a job if one is named.
 func (h Handler) Ready(_ context.Context, r *connect.Request[pb.DeskReadyRequest]) (*connect.Response[pb.DeskReadyResponse], error) {
-	return connect.NewResponse(&pb.DeskReadyResponse{
-		Ready: h.Desk.Current() && h.Desk.Writer.Away() == 0,
-		Open:  r.Msg.GetJob() != "" && h.Desk.open.has(r.Msg.GetJob()),
-	}), nil
+	out := &pb.DeskReadyResponse{Ready: h.Desk.Current() && h.Desk.Writer.Away() == 0}
+	if id := r.Msg.GetJob(); id != "" {
+		out.Open, _ = h.Desk.open.has(id)
+		out.Accepted = h.Desk.accepted(id)
+	}
+	return connect.NewResponse(out), nil
 }
 
 // Submit accepts a job.
