--- a/internal/intake/desk.go
+++ b/internal/intake/desk.go
@@ -117,7 +117,7 @@
 		log.Str("state", string(known.State())).Int64("offset", known.Accepted).Msg("A job was submitted again.")
 		return nil
 	}
-	if d.accepted(j.ID) {
+	if _, accepted := d.open.has(j.ID); accepted {
 		log.Msg("A job was submitted again before the journal returned it.")
 		return nil
 	}
@@ -133,17 +133,18 @@
 	return nil
 }
 
-// accepted says whether a job is known to be in the journal.
-func (d *Desk) accepted(id string) bool {
-	_, known := d.Ledger.Job(id)
-	_, accepted := d.open.has(id)
-	return known || accepted
+// known says whether a job may be written by this entry, or may have been, and whether it is known
+// to be in the journal.
+func (d *Desk) known(id string) (open, accepted bool) {
+	open, accepted = d.open.has(id)
+	_, followed := d.Ledger.Job(id)
+	return open, accepted || followed
 }
 
 // possible refuses a job that would not fit if all workers were empty. While a worker is
 // still unknown, and for a job that may have been accepted before, nothing is refused.
 func (d *Desk) possible(j *workflow.Job) error {
-	if open, _ := d.open.has(j.ID); open || d.accepted(j.ID) || !d.Current() {
+	if open, accepted := d.known(j.ID); open || accepted || !d.Current() {
 		return nil
 	}
 	workers, complete := d.Ledger.Workers()
--- a/internal/intake/peers.go
+++ b/internal/intake/peers.go
@@ -251,8 +251,7 @@
 func (h Handler) Ready(_ context.Context, r *connect.Request[pb.DeskReadyRequest]) (*connect.Response[pb.DeskReadyResponse], error) {
 	out := &pb.DeskReadyResponse{Ready: h.Desk.Current() && h.Desk.Writer.Away() == 0}
 	if id := r.Msg.GetJob(); id != "" {
-		out.Open, _ = h.Desk.open.has(id)
-		out.Accepted = h.Desk.accepted(id)
+		out.Open, out.Accepted = h.Desk.known(id)
 	}
 	return connect.NewResponse(out), nil
 }
