placement: owned room is drawn in one place

A request within its guarantee was checked by covered, and its draw repeated in count; countFirm did the same for work that can't be preempted. countOwned serves both.

--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -235,34 +235,19 @@
 		if !ok || lacks(r.cores, q.Shape.Cores) || lacks(r.memory, memory) {
 			break
 		}
-		if q.within && !f.covered(&r, q, own) {
-			break
-		}
 		r.cores -= q.Shape.Cores
 		r.memory -= memory
-		if !q.Preemptible && !f.countFirm(&r, q, own) {
+		if (q.within || !q.Preemptible) && !f.countOwned(&r, q, own) {
 			break
 		}
-		if q.Preemptible {
-			r.ownCores -= q.Shape.Cores
-			r.ownMemory -= memory
-		}
 		n++
 	}
 	return n
 }
 
-// covered says whether what its team owns still holds one task whole.
-func (f *Fleet) covered(r *room, q *Request, own int) bool {
-	cores, memory := f.allowance(q.Team, q.Shape, own)
-	if cores < q.Shape.Cores || memory < int64(q.Shape.Memory) {
-		return false
-	}
-	return !lacks(r.ownCores, cores) && !lacks(r.ownMemory, memory)
-}
-
-// countFirm takes one task that can't be preempted from owned and unowned room.
-func (f *Fleet) countFirm(r *room, q *Request, own int) bool {
+// countOwned takes one task from what its team owns, and the rest, which a request within its
+// guarantee must not need, from unowned room unless the task can be preempted.
+func (f *Fleet) countOwned(r *room, q *Request, own int) bool {
 	cores, memory := 0, int64(0)
 	if r.ownCores > 0 || r.ownMemory > 0 {
 		cores, memory = f.allowance(q.Team, q.Shape, own)
@@ -271,8 +256,15 @@
 	}
 	r.ownCores -= cores
 	r.ownMemory -= memory
-	r.poolCores -= q.Shape.Cores - cores
-	r.poolMemory -= int64(q.Shape.Memory) - memory
+	restCores, restMemory := q.Shape.Cores-cores, int64(q.Shape.Memory)-memory
+	if q.within && (restCores > 0 || restMemory > 0) {
+		return false
+	}
+	if q.Preemptible {
+		return true
+	}
+	r.poolCores -= restCores
+	r.poolMemory -= restMemory
 	return (q.Shape.Cores == 0 || r.poolCores >= 0) && (q.Shape.Memory == 0 || r.poolMemory >= 0)
 }
 
