--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -292,14 +293,15 @@
 	}
 }
 
-// peersOf returns the other entries as one reaches them.
+// peersOf returns the other entries as one reaches them, those that its journal names.
 func (c *cluster) peersOf(e *entry) func() []intake.Peer {
 	return func() []intake.Peer {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		var out []intake.Peer
+		named := e.ledger.Entries()
 		for _, o := range c.entries {
-			if o != e {
+			if o != e && slices.ContainsFunc(named, func(a ledger.Address) bool { return a.Name == o.name }) {
 				out = append(out, intake.Peer{Name: o.name, Client: peerLink{intake.Handler{Desk: o.desk}, o.gone}})
 			}
 		}
--- a/internal/dispatch/desk_test.go
+++ b/internal/dispatch/desk_test.go
@@ -199,3 +199,27 @@
 		c.once("a.0.0.0")
 	})
 }
+
+// An entry that has just started knows neither jobs nor peers before it has read the journal. It
+// must not say of a job that it never runs.
+func TestAnEntryThatHasNotReadTheJournalRefusesNothing(t *testing.T) {
+	virtually(t, func(t *testing.T) {
+		c := newCluster(t, 2, 2)
+		time.Sleep(3 * time.Second)
+		if err := c.submitAt(c.entries[0], "a", "red", "batch", task(1, 1)); err != nil {
+			t.Fatal(err)
+		}
+		c.store.Break(standin.StoreBusy)
+		late := c.startEntry("late")
+		time.Sleep(time.Second)
+		if err := c.submitAt(late, "a", "red", "batch", task(1, 1)); err == nil || errors.Is(err, intake.ErrUnavailable) {
+			t.Errorf("submit again at the entry that has not read the journal: %v, want an open outcome", err)
+		}
+		time.AfterFunc(500*time.Millisecond, func() { c.store.Break(standin.StoreSound) })
+		if err := c.submitAt(late, "a", "red", "batch", task(1, 1)); err != nil {
+			t.Errorf("submit once more, with the store back half a second later: %v", err)
+		}
+		c.await(10*time.Second, shop.Done, "a")
+		c.once("a.0.0.0")
+	})
+}
--- a/internal/intake/peers.go
+++ b/internal/intake/peers.go
@@ -118,8 +118,8 @@
 	// make a refusal that is certain into an outcome that nobody knows.
 	ready Peer
 	found bool
-	// open says that a peer may write the job that the call is about; unheard, that one
-	// which has fallen silent lately may.
+	// open says that a peer may write the job that the call is about; unheard, that one may
+	// which has fallen silent lately, or isn't known yet.
 	open, unheard bool
 	// accepted says that a peer knows the job to be in the journal.
 	accepted bool
@@ -133,7 +133,7 @@
 	case s.open:
 		return fmt.Errorf("%w: by a peer: %v", errMayBeWritten, err) // No longer a refusal.
 	case s.unheard:
-		return fmt.Errorf("%w: by a peer that has fallen silent: %v", errMayBeWritten, err)
+		return fmt.Errorf("%w: by a peer that is not heard: %v", errMayBeWritten, err)
 	default:
 		return err
 	}
@@ -153,7 +153,8 @@
 		}
 	}
 	wg.Wait()
-	var s survey
+	// Before this entry has read the journal, it doesn't know its peers.
+	s := survey{unheard: d.Follower.Complete() == 0}
 	for i, a := range answers {
 		if a == nil {
 			since, silent := d.silent.Load(peers[i].Name)
