--- a/cmd/sniperill/platform.go
+++ b/cmd/sniperill/platform.go
@@ -44,6 +44,11 @@
 		Name:  name,
 		Usage: usage,
 		Action: func(ctx context.Context, _ *cli.Command) error {
+			// Signals are taken first: until then one ends the process, also a SIGHUP.
+			hup := make(chan os.Signal, 1)
+			signal.Notify(hup, syscall.SIGHUP)
+			ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+			defer stop()
 			s, err := platform.ReadSettings()
 			if err != nil {
 				return trace.Wrap(err)
@@ -51,9 +56,7 @@
 			log, out := platform.NewLogger(os.Stdout)
 			defer out.Close()
 			log = log.With().Str("process", s.Name).Logger()
-			ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-			defer stop()
-			go reloadSettings(ctx, log)
+			go reloadSettings(ctx, hup, log)
 			return trace.Wrap(run(ctx, s, log))
 		},
 	}
@@ -85,11 +88,9 @@
 	}
 }
 
-// reloadSettings reads the settings again at each SIGHUP and says what is wrong with
+// reloadSettings reads the settings again at each signal and says what is wrong with
 // them. Addresses and bounds hold for the life of a process.
-func reloadSettings(ctx context.Context, log zerolog.Logger) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
+func reloadSettings(ctx context.Context, hup <-chan os.Signal, log zerolog.Logger) {
 	for {
 		select {
 		case <-hup:
