entry: a repeat of a job whose start was refused is not taken for accepted

Change: a job that only agents know, of which no gang has begun, is entered in the log, or answered as undecided while the log is away. TestRepeatWithoutTheLog failed before for the stopped and the held task. Ruled out: the slow log (the record was never written) and the lease that lapses.

--- a/internal/entry/attached.go
+++ b/internal/entry/attached.go
@@ -23,6 +23,14 @@
 	p.attached[job.ID] = attachedJob{job, attempt}
 }
 
+// isAttached says whether this planner has accepted a job that is not in the log yet.
+func (p *planner) isAttached(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, ok := p.attached[id]
+	return ok
+}
+
 // enterAttached enters the attached jobs in the log once it is back. The entry
 // that started them does so, whether it plans for its region or not.
 func (p *planner) enterAttached(ctx context.Context) {
--- a/internal/entry/runs.go
+++ b/internal/entry/runs.go
@@ -165,6 +165,16 @@
 	return lowest
 }
 
+// begun says whether the gang as a whole has begun.
+func (r run) begun() bool {
+	switch r.state() {
+	case gang.Running, gang.Done, gang.Failed:
+		return true
+	default:
+		return false
+	}
+}
+
 // reason returns why the attempt ended, as the first member that gives one says.
 func (r run) reason() string {
 	for _, m := range r.members {
@@ -240,10 +250,11 @@
 	switch r.state() {
 	case gang.Held, gang.Prepared:
 		s.State = shop.Starting
-	case gang.Running, gang.Done, gang.Failed:
-		s.State = shop.Running
 	default:
 		s.State = shop.Queued
+		if r.begun() {
+			s.State = shop.Running
+		}
 	}
 	return s
 }
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -46,8 +46,9 @@
 	if !named {
 		s.ID = uuid.NewString()
 	}
-	if known, err := e.status(jobID(s.Team, s.ID)); err == nil {
-		return known, nil
+	known, ok, err := e.submitted(jobID(s.Team, s.ID))
+	if ok || err != nil {
+		return known, err
 	}
 	class, ticket, err := e.admit(s.Team, s.Class)
 	if err != nil {
@@ -75,6 +76,27 @@
 	return Status{Job: job}, fmt.Errorf("entry.Submit: the platform's log gave no answer: %w: %w", shop.ErrMayHaveRun, err)
 }
 
+// submitted returns the status of a job that is known to be accepted. A job that only agents
+// know, of which no gang has begun, may be one whose start was refused: nobody enters that in the
+// log. Then the log decides, or nobody can say while it is away.
+func (e *Entry) submitted(id string) (status Status, accepted bool, err error) {
+	status, err = e.status(id)
+	if errors.Is(err, shop.ErrNotFound) {
+		return Status{}, false, nil
+	}
+	_, ended := e.book.find(id)
+	_, live := e.streams.jobs.Find(id)
+	r, reported := e.runOf(id)
+	switch {
+	case err != nil, ended, live, !reported, r.begun(), e.planner.isAttached(id):
+		return status, err == nil, err
+	case e.streams.away():
+		return Status{Job: status.Job}, false, fmt.Errorf("entry.Submit: the platform's log is away and attempt %d has not begun: %w", r.attempt, shop.ErrMayHaveRun)
+	default:
+		return Status{}, false, nil
+	}
+}
+
 // checkJob returns the job of a submission, if it could ever run.
 func (e *Entry) checkJob(ctx context.Context, s Submission, class shop.Class) (shop.Job, error) {
 	job := shop.Job{
--- /dev/null
+++ b/internal/entry/submit_test.go
@@ -0,0 +1,51 @@
+package entry
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"sniperill.example/sniperill/internal/gang"
+	"sniperill.example/sniperill/pkg/shop"
+	sniperillv1 "sniperill.example/sniperill/proto/sniperill/v1"
+)
+
+// While the log is away a repeated job is accepted only if it is known to be: a start that was
+// refused leaves tasks on agents that nobody enters in the log.
+func TestRepeatWithoutTheLog(t *testing.T) {
+	const a, b = "worker-1", "worker-2"
+	tests := []struct {
+		name     string
+		reports  []*sniperillv1.AgentState
+		attached bool
+		accepted bool
+		err      error
+	}{
+		{"never submitted", nil, false, false, nil},
+		{"running", []*sniperillv1.AgentState{report(a, 1, gang.Running, a), report(b, 1, gang.Running, a)}, false, true, nil},
+		{"done", []*sniperillv1.AgentState{report(a, 1, gang.Done, a)}, false, true, nil},
+		{"refused by one agent, stopped on the other", []*sniperillv1.AgentState{report(a, 1, gang.Stopped, "")}, false, false, shop.ErrMayHaveRun},
+		{"held, so far", []*sniperillv1.AgentState{report(a, 1, gang.Held, "")}, false, false, shop.ErrMayHaveRun},
+		{"accepted here, and stopped later", []*sniperillv1.AgentState{report(a, 1, gang.Stopped, a)}, true, true, nil},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			e := &Entry{Name: "entry-1"}
+			e.init()
+			for _, s := range test.reports {
+				e.planner.runs.update(s)
+			}
+			if test.attached {
+				e.planner.attach(shop.Job{ID: "t/j"}, 1)
+			}
+			_, accepted, err := e.submitted("t/j")
+			if diff := cmp.Diff(test.accepted, accepted); diff != "" {
+				t.Errorf("accepted (-want +got):\n%s", diff)
+			}
+			if !errors.Is(err, test.err) || (test.err == nil) != (err == nil) {
+				t.Errorf("got error %v, want %v", err, test.err)
+			}
+		})
+	}
+}
