--- a/cmd/sniperill/platform.go
+++ b/cmd/sniperill/platform.go
@@ -44,7 +44,7 @@
 		Name:  name,
 		Usage: usage,
 		Action: func(ctx context.Context, _ *cli.Command) error {
-			// Signals are taken first: until then one ends the process, also a SIGHUP.
+			// Before the settings are read, so that none of their changes is missed.
 			hup := make(chan os.Signal, 1)
 			signal.Notify(hup, syscall.SIGHUP)
 			ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
