workflow: a job of a queue with an advice service is refused at once

Cause: such jobs were accepted and could never start: each start without a ticket of that service is rejected. The product doesn't ask it, so the queue is decoded as advised and its jobs are refused (429, not run).

--- a/internal/intake/desk.go
+++ b/internal/intake/desk.go
@@ -141,14 +141,15 @@
 	return open, accepted || followed
 }
 
-// possible refuses a job that would not fit if all workers were empty. While a worker is
-// still unknown, and for a job that may have been accepted before, nothing is refused.
+// possible refuses a job that would not fit if all workers were empty, or whose queue asks for what
+// is not supported. While a worker is still unknown no job is refused for want of room, and one
+// that may have been accepted before is not refused at all.
 func (d *Desk) possible(j *workflow.Job) error {
 	if open, accepted := d.known(j.ID); open || accepted || !d.Current() {
 		return nil
 	}
 	workers, complete := d.Ledger.Workers()
-	if !complete {
+	if !complete && j.Queue.CanServe() == nil {
 		return nil
 	}
 	if err := workers.CanRun(j); err != nil {
--- a/pkg/workflow/rules.go
+++ b/pkg/workflow/rules.go
@@ -1,9 +1,12 @@
 package workflow
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"time"
+
+	"sniperill.example/sniperill/pkg/shop"
 )
 
 // Queue takes jobs of one kind for a service.
@@ -21,6 +24,16 @@
 	Stretch float64       `json:"stretch"`
 	Target  time.Duration `json:"target"`
 	Timeout time.Duration `json:"timeout"`
+	// Advised says that a service outside chooses the workers for each step.
+	Advised bool `json:"advised,omitempty"`
+}
+
+// CanServe fails with shop.ErrNeverFits when the queue asks for what is not supported.
+func (q *Queue) CanServe() error {
+	if q.Advised {
+		return fmt.Errorf("queue %q has its workers chosen by an advice service, which is not supported: %w", q.Name, shop.ErrNeverFits)
+	}
+	return nil
 }
 
 // Service is a pool of workers.
--- a/pkg/workflow/worker.go
+++ b/pkg/workflow/worker.go
@@ -26,6 +26,9 @@
 // CanRun fails with shop.ErrNeverFits when a step of the job would not fit if all workers
 // were empty.
 func (l WorkerList) CanRun(j *Job) error {
+	if err := j.Queue.CanServe(); err != nil {
+		return fmt.Errorf("workflow.CanRun: %w", err)
+	}
 	for i := range j.Steps {
 		if err := l.canHold(j.Queue.Service, &j.Steps[i]); err != nil {
 			return fmt.Errorf("workflow.CanRun: steps[%d]: %w", i, err)
--- a/pkg/workflow/worker_test.go
+++ b/pkg/workflow/worker_test.go
@@ -30,6 +30,10 @@
 		{"a gang that must be spread", workflow.Step{Count: 3, Gang: true, MaxPerWorker: 1}, shop.ErrNeverFits},
 		{"cores that come from what others leave", workflow.Step{Count: 1, Fills: true, Room: workflow.Room{MilliCores: 64000}}, nil},
 	}
+	advised := &workflow.Job{Queue: workflow.Queue{Service: "s", Advised: true}, Steps: []workflow.Step{{Count: 1}}}
+	if err := workers.CanRun(advised); !errors.Is(err, shop.ErrNeverFits) {
+		t.Errorf("a queue with advice: got %v, want %v", err, shop.ErrNeverFits)
+	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			j := &workflow.Job{Queue: workflow.Queue{Service: "s"}, Steps: []workflow.Step{tt.step}}
