--- a/internal/schedule/load_test.go
+++ b/internal/schedule/load_test.go
@@ -421,7 +421,7 @@
 		slices.SortStableFunc(waiting, func(a, b int) int { return order(&v.Waiting[a], &v.Waiting[b]) })
 		for _, i := range waiting {
 			w := &v.Waiting[i]
-			places := bestFit(free, w.Step.Claimed(), w.Members)
+			places := bestFit(free, v.Workers, w)
 			if places != nil {
 				plan.Starts = append(plan.Starts, schedule.Start{Waiting: i, Workers: places})
 			} else if !passOver {
@@ -432,14 +432,31 @@
 	}
 }
 
-// bestFit takes room for all members on the fullest workers, or none.
-func bestFit(free []workflow.Room, claimed workflow.Room, members int) []int {
+// bestFit takes room for all members on the fullest workers, of one rack where they should share
+// one, or none.
+func bestFit(free []workflow.Room, workers []schedule.Worker, w *schedule.Waiting) []int {
+	if !w.Step.SameRack {
+		return bestFitWhere(free, w, func(int) bool { return true })
+	}
+	tried := ""
+	for i := range workers {
+		if rack := workers[i].Rack; rack != tried {
+			tried = rack
+			if places := bestFitWhere(free, w, func(k int) bool { return workers[k].Rack == rack }); places != nil {
+				return places
+			}
+		}
+	}
+	return nil
+}
+
+func bestFitWhere(free []workflow.Room, w *schedule.Waiting, may func(worker int) bool) []int {
 	before := slices.Clone(free)
 	var places []int
-	for range members {
+	for range w.Members {
 		best := -1
 		for i := range free {
-			if free[i].Fits(claimed) && (best < 0 || free[i].Accelerators < free[best].Accelerators) {
+			if may(i) && free[i].Fits(w.Step.Claimed()) && (best < 0 || free[i].Accelerators < free[best].Accelerators) {
 				best = i
 			}
 		}
@@ -447,7 +464,7 @@
 			copy(free, before)
 			return nil
 		}
-		free[best] = free[best].Minus(claimed)
+		free[best] = free[best].Minus(w.Step.Claimed())
 		places = append(places, best)
 	}
 	return places
