entry: a repeat's status is looked up once; what counts as begun stands in one place

submitted asked the book, the log and the agents again after status had, so that the answers could differ, and begun repeated the states that status maps to running.

--- a/internal/entry/runs.go
+++ b/internal/entry/runs.go
@@ -165,16 +165,6 @@
 	return lowest
 }
 
-// begun says whether the gang as a whole has begun.
-func (r run) begun() bool {
-	switch r.state() {
-	case gang.Running, gang.Done, gang.Failed:
-		return true
-	default:
-		return false
-	}
-}
-
 // reason returns why the attempt ended, as the first member that gives one says.
 func (r run) reason() string {
 	for _, m := range r.members {
@@ -247,11 +237,11 @@
 	s.Attempt = r.attempt
 	s.Workers = r.workers()
 	s.Started = r.started()
-	switch state := r.state(); {
-	case r.begun():
-		s.State = shop.Running
-	case state == gang.Held, state == gang.Prepared:
+	switch r.state() {
+	case gang.Held, gang.Prepared:
 		s.State = shop.Starting
+	case gang.Running, gang.Done, gang.Failed:
+		s.State = shop.Running
 	default:
 		s.State = shop.Queued
 	}
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -79,22 +79,20 @@
 // submitted returns the status of a job that is known to be accepted. A job that only agents
 // know, of which no gang has begun, may be one whose start was refused: nobody enters that in the
 // log. Then the log decides, or nobody can say while it is away.
-func (e *Entry) submitted(id string) (status Status, accepted bool, err error) {
-	status, err = e.status(id)
-	switch {
-	case errors.Is(err, shop.ErrNotFound):
-		return Status{}, false, nil
-	case err != nil:
-		return status, false, err
+func (e *Entry) submitted(id string) (known Status, accepted bool, err error) {
+	if recorded, ok := e.recorded(id); ok {
+		return recorded, true, nil
 	}
-	_, ended := e.book.find(id)
-	_, live := e.streams.jobs.Find(id)
 	r, reported := e.runOf(id)
+	if !reported {
+		return Status{}, false, nil
+	}
+	known = r.status(Status{Job: r.Job})
 	switch {
-	case ended, live, !reported, r.begun(), e.planner.isAttached(id):
-		return status, true, nil
+	case known.State == shop.Running, e.planner.isAttached(id):
+		return known, true, nil
 	case e.streams.away():
-		return Status{Job: status.Job}, false, fmt.Errorf("entry.Submit: the platform's log is away and attempt %d has not begun: %w", r.attempt, shop.ErrMayHaveRun)
+		return Status{Job: r.Job}, false, fmt.Errorf("entry.Submit: the platform's log is away and attempt %d has not begun: %w", r.attempt, shop.ErrMayHaveRun)
 	default:
 		return Status{}, false, nil
 	}
@@ -192,21 +190,29 @@
 	return found, err
 }
 
-// status finds a job among the ended, the running and the accepted ones.
+// status finds a job among the ended, the accepted and the running ones.
 func (e *Entry) status(id string) (Status, error) {
-	if s, ok := e.book.find(id); ok {
-		return s, nil
-	}
-	run, running := e.runOf(id)
-	if l, ok := e.streams.jobs.Find(id); ok {
-		s := Status{Job: l.Job, State: shop.Queued, Attempt: l.Attempt}
-		if running {
-			return run.status(s), nil
-		}
+	if s, ok := e.recorded(id); ok {
 		return s, nil
 	}
-	if running {
+	if run, running := e.runOf(id); running {
 		return run.status(Status{Job: run.Job}), nil
 	}
 	return Status{}, fmt.Errorf("entry.status: job %q: %w", id, shop.ErrNotFound)
 }
+
+// recorded finds a job among the ended ones and those that the log has accepted.
+func (e *Entry) recorded(id string) (Status, bool) {
+	if s, ok := e.book.find(id); ok {
+		return s, true
+	}
+	l, ok := e.streams.jobs.Find(id)
+	if !ok {
+		return Status{}, false
+	}
+	s := Status{Job: l.Job, State: shop.Queued, Attempt: l.Attempt}
+	if run, running := e.runOf(id); running {
+		return run.status(s), true
+	}
+	return s, true
+}
