dispatch: a task counts as stuck by the time that its agent has reported

Cause: after an agent was frozen, its first report holds what it knew before. The planner took the whole silence for a time without progress, stopped the task and started it elsewhere. Change: the time without progress counts only as far as reports come at their usual interval. Result: TestTasksOfFrozenAgentRunOn fails on the old code for a freeze of 2.4 s.

--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -40,7 +40,9 @@
 	orderInFlight bool          // A start or stop was sent and has not been answered.
 	lastStopAt    clock.Instant // When the newest stop was sent.
 	percent       int
-	progressedAt  clock.Instant // When percent last changed.
+	// unchangedFor is for how long percent has not changed, counting only the time for which the agent
+	// has reported.
+	unchangedFor time.Duration
 }
 
 func (m *member) step() *workflow.Step { return &m.job.spec.Steps[m.key.Step] }
@@ -52,8 +54,7 @@
 	}
 	m := &member{
 		job: j, key: key, index: at.Index, run: run, worker: w, lifetime: at.Lifetime, status: s,
-		task:         clusterstate.TaskID{Job: j.spec.ID, Occurrence: key.Occurrence, Step: key.Step, Index: at.Index}.String(),
-		progressedAt: clock.Now(),
+		task: clusterstate.TaskID{Job: j.spec.ID, Occurrence: key.Occurrence, Step: key.Step, Index: at.Index}.String(),
 	}
 	ap.members[m.task] = m
 	w.members[m.task] = m
@@ -173,7 +174,7 @@
 			ap.runEnded(m, 0, "", "the worker's lease has lapsed")
 		case m.status != stopping && m.job.final():
 			m.requestStop()
-		case ap.stuck(m, now):
+		case ap.stuck(m):
 			ap.restartElsewhere(m, now)
 		}
 	}
@@ -189,18 +190,18 @@
 
 // stuck reports whether a running task makes no progress. Progress is reported in whole
 // percent, and one percent of a long task may take minutes.
-func (ap *activePlanner) stuck(m *member, now clock.Instant) bool {
-	if m.status != running || m.step().Endless || now.Sub(m.worker.receivedAt) > maxReportAge {
+func (ap *activePlanner) stuck(m *member) bool {
+	if m.status != running || m.step().Endless {
 		return false
 	}
 	percentTime := time.Duration(ap.RemoteFactor * float64(m.step().Estimate) / 100)
-	return now.Sub(m.progressedAt) > stuckTimeout+2*percentTime
+	return m.unchangedFor > stuckTimeout+2*percentTime
 }
 
 // restartElsewhere stops the unit of a stuck task, so that it starts again on another worker.
 func (ap *activePlanner) restartElsewhere(m *member, now clock.Instant) {
 	ap.Log.Warn().Str("task", m.task).Int("run", m.run).Str("node", m.worker.name).Int("percent", m.percent).
-		Dur("since", now.Sub(m.progressedAt)).Msg("A task stands still; it runs again elsewhere.")
+		Dur("since", m.unchangedFor).Msg("A task stands still; it runs again elsewhere.")
 	m.job.unitState(m.key).avoidLifetime = m.lifetime
 	m.worker.pausedUntil = max(m.worker.pausedUntil, now.Add(stuckPause))
 	ap.requestUnitStop(m.job, m.key)
--- a/internal/dispatch/planner_test.go
+++ b/internal/dispatch/planner_test.go
@@ -89,6 +89,24 @@
 	})
 }
 
+// An agent that was frozen for a while reports what it knew before. Its tasks seem to have stood still
+// all the while, but the planner has not seen them. The freezes are shorter than what is left of the lease.
+func TestTasksOfFrozenAgentRunOn(t *testing.T) {
+	for _, frozen := range []time.Duration{2400 * time.Millisecond, 3500 * time.Millisecond, 5 * time.Second, 6 * time.Second} {
+		t.Run(frozen.String(), func(t *testing.T) {
+			withVirtualTime(t, func(t *testing.T) {
+				c := newCluster(t, 2, 2)
+				time.Sleep(3 * time.Second)
+				c.submit("a", "red", "batch", many(task(14, 8), 2))
+				time.Sleep(1500 * time.Millisecond)
+				c.freeze(c.agents[0], frozen)
+				c.await(20*time.Second, shop.Done, "a")
+				c.checkStartedOnce("a.0.0.0", "a.0.0.1")
+			})
+		})
+	}
+}
+
 // An agent's newest poll of its worker may be older than the newest start. A planner that
 // takes over in between must not conclude that the run never started.
 func TestTakeoverKeepsJustStartedRuns(t *testing.T) {
@@ -238,7 +256,7 @@
 		a.machine.Executor().Crash()
 		a.machine.SetExecutor(c.newExecutor(a.name, 2))
 		time.Sleep(300 * time.Millisecond) // The agent retries its poll meanwhile.
-		a.process.Heartbeat(a.machine.Executor().Heartbeat("s", "r1-0", a.heartbeats.Add(1)))
+		a.process.Heartbeat(c.ctx, a.machine.Executor().Heartbeat("s", "r1-0", a.heartbeats.Add(1)))
 		c.submit("b", "red", "batch", many(task(0.5, 1), 2))
 		c.await(5*time.Second, shop.Done, "b")
 		c.checkStartedOnce("b.0.0.0", "b.0.0.1")
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"time"
+
 	"sniperill.example/sniperill/internal/clock"
 	"sniperill.example/sniperill/internal/host"
 	"sniperill.example/sniperill/pkg/workflow"
@@ -10,7 +12,10 @@
 // applyReport applies an agent's report.
 func (ap *activePlanner) applyReport(w *worker, m *pb.WatchResponse) {
 	w.agentIncarnation, w.reportNumber, w.reportVersion = m.GetAgentLife(), m.GetReport(), m.GetVersion()
-	w.receivedAt = clock.Now()
+	now := clock.Now()
+	// An agent that was silent may have been frozen, and reports what it knew before.
+	observed := min(now.Sub(w.receivedAt), maxReportInterval)
+	w.receivedAt = now
 	w.endedLifetimes = m.GetOver()
 	w.unreachable = m.GetUnreachable()
 	h := m.GetWorker()
@@ -33,15 +38,19 @@
 	if w.unreachable {
 		w.resetProgressTimes()
 	}
-	ap.applyRunning(w, m.GetRunning())
+	ap.applyRunning(w, m.GetRunning(), observed)
 	for _, e := range m.GetEnded() {
 		ap.applyEnd(w, e)
 	}
 	ap.stopAbsent(w, m.GetRunning())
 }
 
-// applyRunning applies the list of running tasks of a report.
-func (ap *activePlanner) applyRunning(w *worker, tasks []*pb.RunningTask) {
+// maxReportInterval is the longest time between two reports of an agent that isn't silent.
+const maxReportInterval = watchWait + watchRetryDelay
+
+// applyRunning applies the list of running tasks of a report, given the time for which it tells
+// whether they made progress.
+func (ap *activePlanner) applyRunning(w *worker, tasks []*pb.RunningTask, observed time.Duration) {
 	for _, t := range tasks {
 		m, ok := ap.members[t.GetTask()]
 		if !ok || m.run != int(t.GetRun()) || m.worker != w || !m.mayRunIn(w.lifetime) {
@@ -52,8 +61,9 @@
 			m.status = running
 			ap.Log.Info().Str("task", m.task).Int("run", m.run).Str("node", w.name).Msg("Took over a running task.")
 		}
+		m.unchangedFor += observed
 		if int(t.GetPercent()) != m.percent {
-			m.percent, m.progressedAt = int(t.GetPercent()), clock.Now()
+			m.percent, m.unchangedFor = int(t.GetPercent()), 0
 		}
 		if t.GetCheckpoint() != "" {
 			ap.saveCheckpoint(m, t.GetCheckpoint())
@@ -65,7 +75,7 @@
 // progress is not known while the worker is unreachable.
 func (w *worker) resetProgressTimes() {
 	for _, m := range w.members {
-		m.progressedAt = clock.Now()
+		m.unchangedFor = 0
 	}
 }
 
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -270,7 +270,7 @@
 		case pb.Outcome_OUTCOME_STARTED:
 			if m.status == starting {
 				m.status = running
-				m.progressedAt = clock.Now()
+				m.unchangedFor = 0
 			}
 		case pb.Outcome_OUTCOME_REFUSED:
 			m.worker.pausedUntil = clock.Now().Add(refusedPause)
