dispatch: standbys replace the planner in waves

Cause: standbys stood in a line, 100 ms apart: with 55 entries the last one came after 5.4 s, and all of them asked a planner that was only slow every 50 ms. Change: waves of 1, 2, 4, 8, ... standbys, 100 ms apart, and one after the other within a wave; all standbys of a wave together ask the planner once in 100 ms.

--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/bits"
 	"strconv"
 	"sync"
 	"time"
@@ -31,8 +32,10 @@
 	heartbeatInterval = 300 * time.Millisecond
 	// readinessTimeout bounds the readiness call to the planner; an answer takes 2 ms.
 	readinessTimeout = 200 * time.Millisecond
-	// stepUpDelay is the delay per rank before a standby steps up; stepping up takes about 30 ms.
-	stepUpDelay = 100 * time.Millisecond
+	// waveInterval is the delay between two waves of standbys, each of which has twice as many as the one
+	// before; stepping up takes about 30 ms. The delay of the last wave grows with the logarithm of the
+	// number of entries.
+	waveInterval = 100 * time.Millisecond
 	// standbyPollInterval is how often a standby checks whether a planner is active.
 	standbyPollInterval = 50 * time.Millisecond
 	// maxReadAge is the greatest age of the newest complete read with which a standby may step up.
@@ -66,6 +69,7 @@
 
 	mu            sync.Mutex
 	plannerSeenAt clock.Instant        // When the newest record of the planner was applied.
+	askedAt       clock.Instant        // When this process last asked the planner whether it is ready.
 	newestPlanner clusterstate.Planner // As of that record.
 	active        *activePlanner
 }
@@ -127,10 +131,12 @@
 // ends while it plans, it resigns.
 func (p *Planner) Run(ctx context.Context) error {
 	var followingSince clock.Instant // Since when the journal was followed without a gap.
+	pause := standbyPollInterval
 	for ctx.Err() == nil {
-		if clock.Pause(ctx, standbyPollInterval) != nil {
+		if clock.Pause(ctx, pause) != nil {
 			break
 		}
+		pause = standbyPollInterval
 		if clock.Since(p.Follower.CaughtUpAt()) > maxReadAge || p.Follower.CaughtUpAt() == 0 {
 			followingSince = 0
 			continue
@@ -138,7 +144,9 @@
 		if followingSince == 0 {
 			followingSince = clock.Now()
 		}
-		if !p.plannerGone(ctx, followingSince) {
+		gone, due := p.plannerGone(ctx, followingSince)
+		if !gone {
+			pause = min(pause, due)
 			continue
 		}
 		if err := p.stepUpAndPlan(ctx); err != nil && ctx.Err() == nil {
@@ -149,24 +157,31 @@
 	return ctx.Err()
 }
 
-// plannerGone reports whether no planner is active, as far as this process can tell.
-func (p *Planner) plannerGone(ctx context.Context, followingSince clock.Instant) bool {
+// plannerGone reports whether no planner is active, as far as this process can tell. If it can't tell
+// yet, it returns when to check again at the latest.
+func (p *Planner) plannerGone(ctx context.Context, followingSince clock.Instant) (gone bool, due time.Duration) {
 	p.mu.Lock()
 	seen, since := p.newestPlanner, clock.Since(max(p.plannerSeenAt, followingSince))
 	p.mu.Unlock()
+	turn := newTurn(p.rank(seen.Epoch))
 	switch {
 	case p.Rules() == nil:
-		return false
-	case seen.Epoch == 0, seen.Resigned, seen.Name == p.Name && seen.Incarnation != p.Incarnation:
-		return true // There never was one, it resigned, or it was an earlier incarnation of this process.
-	case since > plannerTimeout:
-		return true
-	case since <= suspectTimeout:
-		return false
+		return false, standbyPollInterval
+	case seen.Name == p.Name && seen.Incarnation != p.Incarnation:
+		return true, 0 // It was an earlier incarnation of this process.
+	case seen.Epoch == 0, seen.Resigned: // There never was one, or it resigned.
+		return since >= turn.delay, turn.delay - since
+	case since > plannerTimeout+turn.delay:
+		return true, 0
+	case since <= suspectTimeout+turn.delay:
+		return false, suspectTimeout + turn.delay - since + 1
+	case clock.Since(p.askedAt) < turn.askInterval:
+		return false, standbyPollInterval
 	}
+	p.askedAt = clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, readinessTimeout)
 	defer cancel()
-	return !p.EntryReady(ctx, seen.Name)
+	return !p.EntryReady(ctx, seen.Name), standbyPollInterval
 }
 
 // rank returns the process's position in the order in which standbys replace the planner of
@@ -183,6 +198,27 @@
 	return n
 }
 
+// turn says when a standby acts that takes the planner as gone.
+type turn struct {
+	// delay is how much later it acts than the first one.
+	delay time.Duration
+	// askInterval is the time between two calls to a planner that may only be slow. All standbys of a
+	// wave together make one call each waveInterval.
+	askInterval time.Duration
+}
+
+// newTurn returns the turn of the standby with a rank. Waves have 1, 2, 4, 8, ... standbys, and those of a
+// wave act one after the other.
+func newTurn(rank int) turn {
+	wave := bits.Len(uint(rank+1)) - 1
+	size := 1 << wave
+	position := rank + 1 - size
+	return turn{
+		delay:       waveInterval*time.Duration(wave) + waveInterval*time.Duration(position)/time.Duration(size),
+		askInterval: waveInterval * time.Duration(size),
+	}
+}
+
 func rankHash(name string, epoch int64) uint64 {
 	return xxhash.Sum64String(name + "/" + strconv.FormatInt(epoch, 10))
 }
@@ -190,9 +226,6 @@
 // stepUpAndPlan steps up and plans until another planner steps up or ctx ends.
 func (p *Planner) stepUpAndPlan(ctx context.Context) error {
 	before, _ := p.ClusterState.Planner()
-	if err := clock.Pause(ctx, stepUpDelay*time.Duration(p.rank(before.Epoch))); err != nil {
-		return err
-	}
 	if err := p.Follower.Refresh(ctx); err != nil {
 		return fmt.Errorf("dispatch.Planner: read before stepping up: %w", err)
 	}
--- a/internal/dispatch/planner_test.go
+++ b/internal/dispatch/planner_test.go
@@ -159,6 +159,56 @@
 	})
 }
 
+// Among many entries, the planner is replaced soon also when most of the standbys that come first have
+// gone with it, and few step up at once.
+func TestPlannerIsReplacedAmongMany(t *testing.T) {
+	tests := []struct {
+		name  string
+		alive int // Entries that remain.
+	}{
+		{"the planner alone is killed", 54},
+		{"half of all entries are killed", 27},
+		{"all but three are killed", 3},
+		{"all but one are killed", 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			withVirtualTime(t, func(t *testing.T) {
+				c := newCluster(t, 55, 2)
+				time.Sleep(3 * time.Second)
+				gone := c.planner()
+				gone.kill()
+				survivor, left := (*entry)(nil), 54
+				for _, e := range c.entries {
+					switch {
+					case e == gone:
+					case left > tt.alive:
+						e.kill()
+						left--
+					default:
+						survivor = e
+					}
+				}
+				before, start := c.plannerRecords(), time.Now()
+				epoch, _ := survivor.state.Planner()
+				for {
+					if now, _ := survivor.state.Planner(); now.Epoch != epoch.Epoch {
+						break
+					}
+					if time.Since(start) > 2*time.Second {
+						t.Fatalf("no planner stepped up in %v", time.Since(start))
+					}
+					time.Sleep(5 * time.Millisecond)
+				}
+				time.Sleep(time.Second)
+				if n := c.plannerRecords() - before; n > 2 {
+					t.Errorf("%d planners stepped up, want at most 2", n)
+				}
+			})
+		})
+	}
+}
+
 // The progress of tasks on a worker that doesn't answer is not known, so they don't count as
 // stuck.
 func TestTasksOfUnreachableWorkerAreNotMoved(t *testing.T) {
