dispatch: a standby steps up only in place of the planner that it found gone

Cause: a standby asked the planner, which took up to 0.2 s, and only then looked which planner it would replace. If another standby had stepped up meanwhile, it replaced that one: eleven step-ups after the loss of half of 55 entries. The test's kill of an entry let it resign, which hid this. Change: the planner that was found gone is the one that must still be the newest when the record is written; a killed entry of the tests reaches neither store nor agents any more.

--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -184,6 +184,7 @@
 type agentTable struct {
 	mu     sync.Mutex
 	agents map[string]*host.Agent
+	isCut  bool            // No call of the entry reaches an agent.
 	thawed map[string]bool // Agents whose next Watch call has waited long enough.
 }
 
@@ -198,6 +199,12 @@
 	t.thawed[address] = true
 }
 
+func (t *agentTable) cut() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.isCut = true
+}
+
 func (t *agentTable) takeThawed(address string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -217,8 +224,9 @@
 func (t *agentTable) get(ctx context.Context, address string) (*host.Agent, error) {
 	t.mu.Lock()
 	a := t.agents[address]
+	cut := t.isCut
 	t.mu.Unlock()
-	if a == nil {
+	if a == nil || cut {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
@@ -316,7 +324,12 @@
 	planner.EntryReady = e.intake.PeerReady
 	running, kill := context.WithCancel(c.ctx)
 	planning, stop := context.WithCancel(running)
-	e.kill, e.stop, e.killed = kill, stop, running.Done()
+	e.kill, e.stop, e.killed = func() {
+		// What the process would still do as it stops reaches nobody.
+		e.storeLink.setDisconnected(true)
+		e.agents.cut()
+		kill()
+	}, stop, running.Done()
 	go follower.Run(running)
 	go writer.Run(running)
 	go e.intake.Run(running)
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -144,12 +144,15 @@
 		if followingSince == 0 {
 			followingSince = clock.Now()
 		}
-		gone, due := p.plannerGone(ctx, followingSince)
+		p.mu.Lock()
+		seen, seenAt := p.newestPlanner, max(p.plannerSeenAt, followingSince)
+		p.mu.Unlock()
+		gone, due := p.plannerGone(ctx, seen, seenAt)
 		if !gone {
 			pause = min(pause, due)
 			continue
 		}
-		if err := p.stepUpAndPlan(ctx); err != nil && ctx.Err() == nil {
+		if err := p.stepUpAndPlan(ctx, seen); err != nil && ctx.Err() == nil {
 			p.Log.Warn().Err(err).Msg("Stopped planning.")
 		}
 		followingSince = 0
@@ -157,12 +160,10 @@
 	return ctx.Err()
 }
 
-// plannerGone reports whether no planner is active, as far as this process can tell. If it can't tell
-// yet, it returns when to check again at the latest.
-func (p *Planner) plannerGone(ctx context.Context, followingSince clock.Instant) (gone bool, due time.Duration) {
-	p.mu.Lock()
-	seen, since := p.newestPlanner, clock.Since(max(p.plannerSeenAt, followingSince))
-	p.mu.Unlock()
+// plannerGone reports whether the newest planner is gone, as far as this process can tell, given when its
+// newest record was seen. If it can't tell yet, it returns when to check again at the latest.
+func (p *Planner) plannerGone(ctx context.Context, seen clusterstate.Planner, seenAt clock.Instant) (gone bool, due time.Duration) {
+	since := clock.Since(seenAt)
 	turn := newTurn(p.rank(seen.Epoch))
 	switch {
 	case p.Rules() == nil:
@@ -223,13 +224,13 @@
 	return xxhash.Sum64String(name + "/" + strconv.FormatInt(epoch, 10))
 }
 
-// stepUpAndPlan steps up and plans until another planner steps up or ctx ends.
-func (p *Planner) stepUpAndPlan(ctx context.Context) error {
-	before, _ := p.ClusterState.Planner()
+// stepUpAndPlan steps up in place of a planner that is gone, and plans until another planner steps up or
+// ctx ends. It fails with errReplaced if another one has stepped up since that planner was taken as gone.
+func (p *Planner) stepUpAndPlan(ctx context.Context, before clusterstate.Planner) error {
 	if err := p.Follower.Refresh(ctx); err != nil {
 		return fmt.Errorf("dispatch.Planner: read before stepping up: %w", err)
 	}
-	if now, _ := p.ClusterState.Planner(); now.Epoch != before.Epoch {
+	if now, _ := p.ClusterState.Planner(); now != before {
 		return errReplaced
 	}
 	offset, err := p.Writer.Add(ctx, clusterstate.PlannerRecord(clusterstate.Planner{Name: p.Name, Incarnation: p.Incarnation}))
--- a/internal/dispatch/planner_test.go
+++ b/internal/dispatch/planner_test.go
@@ -1,6 +1,8 @@
 package dispatch_test
 
 import (
+	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -171,15 +173,16 @@
 		{"all but three are killed", 3},
 		{"all but one are killed", 1},
 	}
-	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
+	for i := range 5 * len(tests) {
+		tt, rotation := tests[i/5], i%5*11 // Other entries remain each time, with other ranks.
+		t.Run(fmt.Sprint(tt.name, rotation), func(t *testing.T) {
 			withVirtualTime(t, func(t *testing.T) {
 				c := newCluster(t, 55, 2)
 				time.Sleep(3 * time.Second)
 				gone := c.planner()
 				gone.kill()
 				survivor, left := (*entry)(nil), 54
-				for _, e := range c.entries {
+				for _, e := range slices.Concat(c.entries[rotation:], c.entries[:rotation]) {
 					switch {
 					case e == gone:
 					case left > tt.alive:
