dispatch: tasks of a lifetime that nobody remembers run again

Cause: a worker restarted after its time of day had jumped back, and its agent restarted, too. The planner could not tell the old lifetime from a later one, and the lease never lapsed as the agent went on reporting. The job stayed in the state running for good. Change: once a worker has been in another lifetime for longer than a lease, the old one is over.

--- a/internal/dispatch/planner_test.go
+++ b/internal/dispatch/planner_test.go
@@ -295,6 +295,25 @@
 	})
 }
 
+// A worker restarts after its time of day has jumped back, and its agent restarts, too. The agent doesn't
+// know the lifetime before, and the new one seems to be older.
+func TestTasksOfForgottenLifetimeRunAgain(t *testing.T) {
+	withVirtualTime(t, func(t *testing.T) {
+		c := newCluster(t, 2, 1)
+		a := c.agents[0]
+		time.Sleep(3 * time.Second)
+		c.submit("a", "red", "batch", task(3, 1))
+		time.Sleep(time.Second)
+		a.kill()
+		a.machine.Executor().Crash()
+		next := c.newExecutor(a.name, 0)
+		next.Lifetime.ID = "other"
+		a.machine.SetExecutor(next)
+		c.startAgentProcess(a, "r1-0")
+		c.await(20*time.Second, shop.Done, "a")
+	})
+}
+
 // A worker crashes and restarts with the same id. Run ends of the new lifetime have the same
 // numbers as ends that were acknowledged in the lifetime before, and must not be ignored.
 func TestEndsOfRestartedWorkerAreApplied(t *testing.T) {
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -21,7 +21,7 @@
 	h := m.GetWorker()
 	if l := h.GetLifetime(); l != w.lifetime {
 		ap.Log.Info().Str("node", w.name).Str("lifetime", l).Str("before", w.lifetime).Msg("A worker has another lifetime.")
-		w.lifetime = l
+		w.lifetime, w.lifetimeSince = l, now
 		w.appliedEnds, w.storedEnds = endPosition{lifetime: l}, endPosition{lifetime: l}
 		w.health = health{}
 	}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -52,6 +52,7 @@
 	reportVersion    uint64
 	receivedAt       clock.Instant // When the newest report arrived; zero before the first.
 	lifetime         string
+	lifetimeSince    clock.Instant // When it was first reported.
 	hardware         workflow.Worker
 	zone             string
 	draining         bool
@@ -123,6 +124,12 @@
 	return err1 == nil && err2 == nil && now.StartedUnixMS > then.StartedUnixMS
 }
 
+// replacedForLease reports whether the worker has been in another lifetime for longer than any lease of
+// the given one, which nobody has renewed since.
+func (ap *activePlanner) replacedForLease(w *worker, lifetime string, now clock.Instant) bool {
+	return w.lifetime != "" && w.lifetime != lifetime && now > w.lifetimeSince.Add(ap.Lease+ap.StopTimeout+leaseSlack)
+}
+
 // leaseEnd returns when the worker's lease has ended for certain. An older planner may have
 // granted a full lease at any time before this one stepped up.
 func (ap *activePlanner) leaseEnd(w *worker) clock.Instant {
