docs: what other operators reported, with the tests and what was found

Change: a table in docs/FAULTS.md, written by the matrix's page. Result: six of the seven reports led to a fault that is mended, one to nothing new.

--- a/internal/matrix/page.go
+++ b/internal/matrix/page.go
@@ -39,6 +39,20 @@
 
 What ran is taken from the stand-ins of workers and backend servers, what was told
 from what callers got. docs/design/faults.md says how faults are modelled.
+
+## What other operators reported
+
+For the workflows on the users' platform ([design/platform.md](design/platform.md)):
+
+| report | test | found |
+|---|---|---|
+| a silent or slow machine's work was started again or given up | TestTasksOfFrozenAgentRunOn, TestTasksOfUnreachableWorkerAreNotMoved, TestLeaseEndsBeforePlannerAssumesItLapsed | the first report after a freeze counted as a standstill: mended |
+| both acted around a hand-over | TestPlannerIsReplacedAmongMany, TestOneStandbyStepsUp, TestOlderPlannerIsRefused, TestHigherEpochFencesWriter | a standby replaced the planner that had stepped up while it asked the old one: mended; orders never went out twice, as they carry the epoch |
+| a paused process used a permission that had run out | TestWithdrawnKeyIsNotUsedAgain, TestOlderPlannerIsRefused, TestRestartedAgentDoesNotAssumeLeaseLapsed | an entry that was paused, or without the store, took withdrawn keys: mended |
+| after a restart a server that had left, or a withdrawn key, was in use | TestTasksOfForgottenLifetimeRunAgain, TestHeartbeatsOfEarlierLifetimeAreIgnored, TestWorkerWhoseClockJumpedBackIsUsed, TestConfigurationVersionNeverDecreases | a worker whose clock had jumped back was never used again, and its tasks stayed running for good: mended |
+| work ran again, or was said not to have run, after a lost answer | TestWriter, TestJobWithUndecidedWriteIsNotRefused, TestJobAcceptedByPeerIsNotRefused, TestLateStartReachesRestartedWorker | nothing new |
+| one message or error took a process down | TestHarmfulJobIsRefused, TestRejectedAppendStopsNoOthers, the fuzz targets of platform and clusterstate | a job due after the year 9999 ended the entry; one whose record is too large stopped an entry's writes: mended |
+| an odd entry among those of the executors | TestOddHeartbeatsNameNoWorker, TestHeartbeatOfAnotherWriterEndsNoLifetime, TestOddRecordsChangeNothing | a heartbeat with a later start ended a worker's lifetime, one with a start in the far future hid the worker; a progress record with a step too many ended each planner in turn: mended |
 `
 
 // PairCount is the number of pairs of faults that TestFaultPairs runs.
