dispatch: planning moves to an entry with more processor time

Cause: any entry may plan, also one with a quarter of the processor time of others, where a pass takes four times as long. Settings say what a machine has; they were not read. Change: entries register their processor time; those with at least half of the most come first when the planner is replaced, and a planner that isn't among them resigns once one of them is ready.

--- a/internal/clusterstate/record.go
+++ b/internal/clusterstate/record.go
@@ -28,6 +28,8 @@
 	Name    string `json:"name"`
 	Address string `json:"address"` // IP and port.
 	Zone    string `json:"zone"`
+	// CPUShare is the processor time that an entry gets, in cores; zero if it is not known.
+	CPUShare float64 `json:"cpu-share,omitempty"`
 	// Worker is what the agent's worker offers, nil until it is known.
 	Worker *workflow.Worker `json:"worker,omitempty"`
 }
--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -299,7 +299,10 @@
 	return c
 }
 
-func (c *cluster) startEntry(name string) *entry {
+// startEntry starts an entry whose processor time is not known.
+func (c *cluster) startEntry(name string) *entry { return c.startEntryWithShare(name, 0) }
+
+func (c *cluster) startEntryWithShare(name string, cpuShare float64) *entry {
 	e := &entry{name: name, stopped: make(chan struct{}), agents: &agentTable{agents: make(map[string]*host.Agent)}}
 	log := c.log.With().Str("at", name).Logger()
 	store := e.storeLink.wrap(c.store.Journal())
@@ -312,7 +315,7 @@
 		}
 	}}
 	planner := &dispatch.Planner{
-		Name: name, Incarnation: incarnation, ClusterState: e.state, Follower: follower, Writer: writer, Store: store,
+		Name: name, Incarnation: incarnation, CPUShare: cpuShare, ClusterState: e.state, Follower: follower, Writer: writer, Store: store,
 		Rules: func() *workflow.Rules { return c.rules }, Options: options, Log: log,
 		Dial: func(address string) sniperillv1connect.HostServiceClient { return agentClient{e.agents, address} },
 	}
@@ -333,7 +336,7 @@
 	go follower.Run(running)
 	go writer.Run(running)
 	go e.intake.Run(running)
-	go register(running, writer, clusterstate.EntryRecord(clusterstate.Address{Name: name, Address: agentAddress(name)}))
+	go register(running, writer, clusterstate.EntryRecord(clusterstate.Address{Name: name, Address: agentAddress(name), CPUShare: cpuShare}))
 	go func() {
 		defer close(e.stopped)
 		_ = planner.Run(planning)
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -1,10 +1,12 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"math/bits"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -48,11 +50,16 @@
 // errReplaced is returned when another planner has stepped up.
 var errReplaced = errors.New("another planner has stepped up")
 
+// errHandedOver is the cause for which a planner resigns in favour of a faster entry.
+var errHandedOver = errors.New("a faster entry takes over")
+
 // Planner is a standby that becomes the active planner when there is none. Set its fields
 // before Run.
 type Planner struct {
 	Name        string
 	Incarnation string // Distinguishes restarts of the process.
+	// CPUShare is the processor time that this process gets, in cores; zero if it is not known.
+	CPUShare float64
 	// ClusterState, Follower and Writer are those of this process.
 	ClusterState *clusterstate.State
 	Follower     *journal.Follower
@@ -186,19 +193,70 @@
 }
 
 // rank returns the process's position in the order in which standbys replace the planner of
-// an epoch. The order differs between epochs, so that an entry that is gone delays only some
-// of the takeovers.
+// an epoch.
 func (p *Planner) rank(epoch int64) int {
-	own := rankHash(p.Name, epoch)
+	own := clusterstate.Address{Name: p.Name, CPUShare: p.CPUShare}
+	entries := p.ClusterState.Entries()
+	fast := fastShare(entries)
 	n := 0
-	for _, e := range p.ClusterState.Entries() {
-		if e.Name != p.Name && rankHash(e.Name, epoch) < own {
+	for _, e := range entries {
+		if e.Name != p.Name && compareStandbys(e, own, epoch, fast) < 0 {
 			n++
 		}
 	}
 	return n
 }
 
+// fastShare returns the processor time from which an entry counts as fast: planning is serial, and takes
+// four times as long with a quarter of the processor time.
+func fastShare(entries []clusterstate.Address) float64 {
+	most := 0.0
+	for _, e := range entries {
+		most = max(most, e.CPUShare)
+	}
+	return most / 2
+}
+
+// compareStandbys orders the standbys of an epoch: the fast ones first. Otherwise, the order differs
+// between epochs, so that an entry that is gone delays only some of the takeovers.
+func compareStandbys(a, b clusterstate.Address, epoch int64, fast float64) int {
+	if aFast, bFast := a.CPUShare >= fast, b.CPUShare >= fast; aFast != bFast {
+		if aFast {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(rankHash(a.Name, epoch), rankHash(b.Name, epoch))
+}
+
+const (
+	// handOverInterval is how often a planner that isn't fast looks for an entry that is.
+	handOverInterval = 2 * time.Second
+	// maxHandOverCalls bounds the entries that it asks each time.
+	maxHandOverCalls = 3
+)
+
+// watchForFaster calls handOver as soon as a faster entry is ready to plan. It returns when ctx ends.
+func (p *Planner) watchForFaster(ctx context.Context, epoch int64, handOver func(to string)) {
+	for clock.Pause(ctx, handOverInterval) == nil {
+		entries := p.ClusterState.Entries()
+		fast := fastShare(entries)
+		if p.CPUShare >= fast {
+			continue
+		}
+		slices.SortFunc(entries, func(a, b clusterstate.Address) int { return compareStandbys(a, b, epoch, fast) })
+		for _, e := range entries[:min(maxHandOverCalls, len(entries))] {
+			askCtx, cancel := context.WithTimeout(ctx, readinessTimeout)
+			ready := e.CPUShare >= fast && p.EntryReady(askCtx, e.Name)
+			cancel()
+			if ready {
+				handOver(e.Name)
+				return
+			}
+		}
+	}
+}
+
 // turn says when a standby acts that takes the planner as gone.
 type turn struct {
 	// delay is how much later it acts than the first one.
@@ -243,6 +301,11 @@
 	ctx, stop := context.WithCancelCause(ctx)
 	defer stop(nil)
 	active.stepDown = func() { stop(errReplaced) }
+	go p.watchForFaster(ctx, active.epoch, func(to string) {
+		p.Log.Info().Int64("epoch", active.epoch).Float64("cpu_share", p.CPUShare).Str("to", to).
+			Msg("Handing over to an entry with more processor time.")
+		stop(errHandedOver)
+	})
 	p.mu.Lock()
 	p.active = active
 	p.mu.Unlock()
--- a/internal/dispatch/planner_test.go
+++ b/internal/dispatch/planner_test.go
@@ -212,6 +212,47 @@
 	}
 }
 
+// Planning moves to an entry with more processor time, also back to one after all of them were killed, and
+// no run is lost or repeated.
+func TestPlanningMovesToFasterEntry(t *testing.T) {
+	withVirtualTime(t, func(t *testing.T) {
+		c := newCluster(t, 0, 3)
+		add := func(name string, cpuShare float64) *entry {
+			e := c.startEntryWithShare(name, cpuShare)
+			c.mu.Lock()
+			c.entries = append(c.entries, e)
+			c.mu.Unlock()
+			return e
+		}
+		for i := range 4 {
+			add(fmt.Sprint("slow-", i), 0.192)
+		}
+		time.Sleep(3 * time.Second)
+		c.submit("a", "red", "batch", many(task(8, 1), 6))
+		time.Sleep(time.Second)
+		first := add("fast-0", 0.8)
+		time.Sleep(3 * time.Second)
+		if got := c.planner(); got != first {
+			t.Errorf("%s plans, want the fast entry", got.name)
+		}
+		first.kill()
+		c.mu.Lock()
+		c.entries = c.entries[:4]
+		c.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		if got := c.planner(); got == first {
+			t.Error("the fast entry was not replaced after it was killed")
+		}
+		before := c.plannerRecords()
+		time.Sleep(4 * time.Second)
+		if n := c.plannerRecords() - before; n != 0 {
+			t.Errorf("%d planner records while the fast entry is gone, want none", n)
+		}
+		c.await(10*time.Second, shop.Done, "a")
+		c.checkStartedOnce("a.0.0.0", "a.0.0.1", "a.0.0.2", "a.0.0.3", "a.0.0.4", "a.0.0.5")
+	})
+}
+
 // The progress of tasks on a worker that doesn't answer is not known, so they don't count as
 // stuck.
 func TestTasksOfUnreachableWorkerAreNotMoved(t *testing.T) {
