entry: an attempt that was started without the log is claimed once the log is back

Cause: the known red test TestFaultPairs/007. While the log was away, planners start attempts of jobs that may run again without a claim. Of a job that was in the log already the attempt was never recorded; an entry that started anew (its zone had been lost) read of no attempt, heard of none yet from the agents, and started the job a second time. Ruled out by the trace: two claims of the same attempt (that of attempt 1 was voided before, and the second start's was the only one). Change: such attempts are remembered like the jobs that were accepted without the log, and claimed with them.

--- a/internal/entry/start.go
+++ b/internal/entry/start.go
@@ -95,7 +95,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, startTimeout)
 		defer cancel()
-		result, err := p.claimAndStart(ctx, plan, class)
+		result, err := p.claimAndStart(ctx, job.Job, plan, class)
 		p.recordStartResult(job.ID, s.Attempt.Number, result, err)
 	}()
 }
@@ -103,12 +103,16 @@
 // claimAndStart claims the attempt in the log, then starts the gang. While the log is
 // unavailable, only jobs that may run again are started, because two planners might start
 // the same attempt.
-func (p *planner) claimAndStart(ctx context.Context, plan gang.Plan, class shop.Class) (gang.Result, error) {
+func (p *planner) claimAndStart(ctx context.Context, job shop.Job, plan gang.Plan, class shop.Class) (gang.Result, error) {
 	if p.streams.unavailable() {
 		if !class.Idempotent {
 			return gang.Result{Outcome: gang.NotRun}, fmt.Errorf("planner.claimAndStart: the platform's log is unavailable: %w", shop.ErrUnavailable)
 		}
-		return p.starter().Start(ctx, plan)
+		result, err := p.starter().Start(ctx, plan)
+		if result.Outcome != gang.NotRun {
+			p.addUnrecorded(job, int(plan.Attempt.Number))
+		}
+		return result, err
 	}
 	a := shop.Attempt{Job: plan.Attempt.Job, Number: int(plan.Attempt.Number)}
 	if err := p.streams.jobs.ClaimAttempt(ctx, a, p.Name, workersOf(plan.Parts)...); err != nil {
--- a/internal/entry/unrecorded.go
+++ b/internal/entry/unrecorded.go
@@ -15,16 +15,17 @@
 	attempt int
 }
 
-// addUnrecorded remembers a job until it is in the log. Its agents know it, too, but
+// addUnrecorded remembers a job until it and its attempt are in the log. Its agents know both, too, but
 // they may fail before the log is available again, and the caller was told that the
-// job is accepted.
+// job is accepted. A planner that neither reads of the attempt nor hears of it from an agent would start
+// another one beside it.
 func (p *planner) addUnrecorded(job shop.Job, attempt int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.unrecorded[job.ID] = unrecordedJob{job, attempt}
 }
 
-// isUnrecorded reports whether this planner has accepted a job that is not in the log yet.
+// isUnrecorded reports whether this planner has started a job whose attempt is not in the log yet.
 func (p *planner) isUnrecorded(id string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -41,9 +42,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, u := range p.unrecorded {
-		_, live := p.streams.jobs.Find(id)
+		recorded, live := p.streams.jobs.Find(id)
 		_, ended := p.endedJobs.find(id)
-		if live || ended {
+		if ended || live && recorded.Attempt >= u.attempt {
 			delete(p.unrecorded, id)
 			continue
 		}
@@ -57,8 +58,10 @@
 // is already claimed in the log counts as recorded.
 func (p *planner) recordRunningJob(ctx context.Context, job shop.Job, attempt int, j *progress) {
 	p.runJobStep(ctx, job.ID, j, "Recording a running job in the log", func(ctx context.Context) error {
-		if err := p.streams.jobs.Accept(ctx, job); err != nil {
-			return err
+		if _, live := p.streams.jobs.Find(job.ID); !live {
+			if err := p.streams.jobs.Accept(ctx, job); err != nil {
+				return err
+			}
 		}
 		err := p.streams.jobs.ClaimAttempt(ctx, shop.Attempt{Job: job.ID, Number: attempt}, p.Name)
 		if errors.Is(err, platform.ErrAttemptClaimed) {
