--- a/internal/intake/reach.go
+++ b/internal/intake/reach.go
@@ -21,7 +21,7 @@
 	probeStoreInterval = 50 * time.Millisecond
 	// maxReadyAge is the age of the store's newest answer up to which an entry takes calls of its peers.
 	// The planner writes a record every 0.3 s, and the others read every 0.2 s.
-	maxReadyAge = 800 * time.Millisecond
+	maxReadyAge = 600 * time.Millisecond
 )
 
 // storeProbe makes sure that the store answers before something is written there: a write that isn't
--- a/internal/journal/follower.go
+++ b/internal/journal/follower.go
@@ -174,7 +174,7 @@
 func (f *Follower) hedgedRead(ctx context.Context, wait time.Duration, call func(context.Context) (Page, error)) (Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+readTimeoutMargin)
 	defer cancel()
-	return hedged(ctx, wait+hedgeDelay, call)
+	return hedged(ctx, newHedge(wait, f.isUnavailable()), call)
 }
 
 // applyPage applies the records that are new. Reads may overlap, and the newest record of a key
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -202,6 +202,32 @@
 	})
 }
 
+// Once a silent store is known to be lost, calls are repeated more often, so that the journal is written
+// and read soon after it is back.
+func TestLostStoreIsNoticedSoonAfterItsReturn(t *testing.T) {
+	for _, silent := range []time.Duration{2500, 2650, 2800, 2950, 3100, 3250} {
+		synctest.Test(t, func(t *testing.T) {
+			p := newProcesses(t)
+			s := &standin.Store{Delay: 5 * time.Millisecond}
+			w := &journal.Writer{Store: s.Journal(), Producer: journal.Producer{Name: "planner", Epoch: 1}, RetryUnavailable: true}
+			go w.Run(p.ctx)
+			applied := make(chan struct{})
+			f := &journal.Follower{Store: s.Journal(), Apply: func(journal.Record) { close(applied) }}
+			go f.Run(p.ctx)
+			time.Sleep(time.Second)
+			s.SetFault(standin.StoreSilent)
+			go func() { _ = p.add(w, 10*time.Second, "a") }()
+			time.Sleep(silent * time.Millisecond)
+			s.SetFault(standin.StoreHealthy)
+			back := time.Now()
+			<-applied
+			if took := time.Since(back); took > 320*time.Millisecond {
+				t.Errorf("after %v of silence, a record was written and read %v after the store was back", silent*time.Millisecond, took)
+			}
+		})
+	}
+}
+
 func TestHigherEpochFencesWriter(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newProcesses(t)
