dispatch: tasks that can't end before their worker leaves are moved at the announcement

Cause: a worker announced that it would be gone in two seconds. Change: units with a task that can't end by the announced time, half a second allowed, are stopped at once. What remains is estimated as of when the percentage changed; a late heartbeat without an announcement no longer resets the time that is left. Result: TestTasksLeaveDrainingWorker: a task of 4 s ends within 6 s of the announcement, not done before.

--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -40,6 +40,7 @@
 	orderInFlight bool          // A start or stop was sent and has not been answered.
 	lastStopAt    clock.Instant // When the newest stop was sent.
 	percent       int
+	percentAt     clock.Instant // When percent last changed.
 	// unchangedFor is for how long percent has not changed, counting only the time for which the agent
 	// has reported.
 	unchangedFor time.Duration
@@ -176,12 +177,38 @@
 			ap.runEnded(m, 0, "", "the worker's lease has lapsed")
 		case m.status != stopping && m.job.final():
 			m.requestStop()
+		case ap.outlastsDrain(m, now):
+			ap.evacuate(m, now)
 		case ap.stuck(m):
 			ap.restartElsewhere(m, now)
 		}
 	}
 }
 
+// drainSlack is how much longer than announced a draining worker usually stays.
+const drainSlack = 500 * time.Millisecond
+
+// outlastsDrain reports whether a running task will not end before its worker leaves. Endless tasks run
+// until then, and so does what still runs when the worker might leave at any moment.
+func (ap *activePlanner) outlastsDrain(m *member, now clock.Instant) bool {
+	if m.status != running || !m.worker.draining || m.step().Endless || now > m.worker.drainUntil {
+		return false
+	}
+	_, remaining := ap.lostAndRemaining(m)
+	return now.Add(remaining) > m.worker.drainUntil.Add(drainSlack)
+}
+
+// evacuate stops the unit of a task on a draining worker, so that it starts again elsewhere. Once the
+// worker has left, its runs are known to be over only after their lease.
+func (ap *activePlanner) evacuate(m *member, now clock.Instant) {
+	_, remaining := ap.lostAndRemaining(m)
+	ap.Log.Info().Str("task", m.task).Int("run", m.run).Str("node", m.worker.name).Int("percent", m.percent).
+		Dur("remaining", remaining).Dur("left", m.worker.drainUntil.Sub(now)).
+		Msg("A task can't end before its worker leaves; it runs again elsewhere.")
+	evacuations.Inc()
+	ap.requestUnitStop(m.job, m.key)
+}
+
 const (
 	// stuckTimeout is how long a task may show no progress, in addition to the time that two
 	// percent of it take. Agents report once a second.
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -13,6 +13,7 @@
 	claims        = metrics.NewCounter("sniperill_planner_claims_total")
 	preemptions   = metrics.NewCounter("sniperill_planner_evictions_total")
 	quarantines   = metrics.NewCounter("sniperill_planner_quarantines_total")
+	evacuations   = metrics.NewCounter("sniperill_planner_evacuations_total")
 	planDuration  = metrics.NewHistogram("sniperill_planner_plan_duration_seconds")
 	storeDuration = metrics.NewHistogram("sniperill_planner_store_duration_seconds")
 	waitDuration  = metrics.NewHistogram("sniperill_planner_wait_seconds")
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -162,19 +162,24 @@
 // lostAndRemaining estimates the run time that a stop loses and the run time that remains.
 func (ap *activePlanner) lostAndRemaining(m *member) (lost, remaining time.Duration) {
 	estimate := m.step().Estimate
-	ran := clock.Since(m.job.unitState(m.key).startedAt)
-	if m.job.unitState(m.key).startedAt == 0 {
+	startedAt := m.job.unitState(m.key).startedAt
+	ran := clock.Since(startedAt)
+	if startedAt == 0 {
 		ran = estimate * time.Duration(m.percent) / 100
 	}
 	lost = ran
 	if m.step().Checkpoints {
 		lost = min(lost, ap.CheckpointInterval)
 	}
-	remaining = max(0, estimate-ran)
-	if m.percent > 0 {
+	switch {
+	case m.percent > 0 && startedAt != 0: // The percentage may be a second old.
+		remaining = m.percentAt.Sub(startedAt)*100/time.Duration(m.percent) - ran
+	case m.percent > 0:
 		remaining = ran * time.Duration(100-m.percent) / time.Duration(m.percent)
+	default:
+		remaining = estimate - ran
 	}
-	return lost, remaining
+	return lost, max(0, remaining)
 }
 
 func (ap *activePlanner) appendWaiting(v *schedule.View, idx *viewIndex, indices map[*worker]int) {
--- a/internal/dispatch/planner_test.go
+++ b/internal/dispatch/planner_test.go
@@ -10,6 +10,7 @@
 	"sniperill.example/sniperill/internal/host"
 	"sniperill.example/sniperill/internal/standin"
 	"sniperill.example/sniperill/pkg/shop"
+	"sniperill.example/sniperill/pkg/workflow"
 )
 
 func TestJobsRunToCompletion(t *testing.T) {
@@ -310,6 +311,49 @@
 	}
 }
 
+// A worker announces that it leaves, and is gone two seconds later. What can't end by then is moved at the
+// announcement: afterwards nothing shows that its runs are over until the lease has lapsed.
+func TestTasksLeaveDrainingWorker(t *testing.T) {
+	tests := []struct {
+		name   string
+		step   workflow.Step
+		ran    time.Duration // Before the announcement.
+		within time.Duration // After it.
+		starts int           // Of the first task.
+	}{
+		{"a gang that can't end in time", gang(task(4, 8), 2), time.Second, 6 * time.Second, 2},
+		{"a task that can't end in time", task(4, 8), time.Second, 6 * time.Second, 2},
+		{"a gang that can end in time", gang(task(4, 8), 2), 2500 * time.Millisecond, 2 * time.Second, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			withVirtualTime(t, func(t *testing.T) {
+				c := newCluster(t, 2, 4)
+				time.Sleep(3 * time.Second)
+				c.submit("a", "red", "urgent", tt.step)
+				time.Sleep(tt.ran)
+				var leaving *agent
+				for _, a := range c.agents {
+					if slices.Contains(a.machine.Executor().Running(), "a.0.0.0") {
+						leaving = a
+					}
+				}
+				drain := leaving.machine.Executor().Heartbeat("s", "r1-0", leaving.heartbeats.Add(1))
+				drain.Draining, drain.DrainRemaining = true, 2*time.Second
+				if err := leaving.process.Heartbeat(c.ctx, drain); err != nil {
+					t.Fatal(err)
+				}
+				announced := time.Now()
+				time.AfterFunc(2*time.Second, leaving.machine.Executor().Crash)
+				c.await(tt.within, shop.Done, "a")
+				if n := c.runs.count("a.0.0.0"); n != tt.starts {
+					t.Errorf("a.0.0.0 was started %d times, want %d; done after %v", n, tt.starts, time.Since(announced))
+				}
+			})
+		})
+	}
+}
+
 // A worker crashes and restarts with the same id while a start is on its way to it. The start
 // takes effect in the new lifetime, and that run must end before the task runs elsewhere.
 func TestLateStartReachesRestartedWorker(t *testing.T) {
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -32,6 +32,7 @@
 		},
 	}
 	w.draining = h.GetDraining()
+	w.drainUntil = now.Add(h.GetDrainLeft().AsDuration())
 	if w.lifetime == "" || !m.GetLooked() {
 		return
 	}
@@ -63,7 +64,7 @@
 		}
 		m.unchangedFor += observed
 		if int(t.GetPercent()) != m.percent {
-			m.percent, m.unchangedFor = int(t.GetPercent()), 0
+			m.percent, m.percentAt, m.unchangedFor = int(t.GetPercent()), clock.Now(), 0
 		}
 		if t.GetCheckpoint() != "" {
 			ap.saveCheckpoint(m, t.GetCheckpoint())
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -56,7 +56,8 @@
 	hardware         workflow.Worker
 	zone             string
 	draining         bool
-	unreachable      bool // The worker doesn't answer its agent.
+	drainUntil       clock.Instant // A draining worker stays at least until then.
+	unreachable      bool          // The worker doesn't answer its agent.
 	endedLifetimes   []string
 	appliedEnds      endPosition // Run ends that this planner has applied.
 	storedEnds       endPosition // Run ends that are in the journal.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -101,14 +101,14 @@
 	if hb.Draining && !(same && a.heartbeat.Draining) {
 		a.Log.Info().Stringer("lifetime", hb.Lifetime).Dur("left", hb.DrainRemaining).Msg("The worker is draining.")
 	}
+	if hb.Draining {
+		a.drainUntil = clock.Now().Add(hb.DrainRemaining)
+	}
 	hb.Draining = hb.Draining || same && a.heartbeat.Draining
 	if a.WorkerChanged != nil && !reflect.DeepEqual(hb.Worker, a.heartbeat.Worker) {
 		a.WorkerChanged(hb.Worker)
 	}
 	notable := !same || hb.Draining != a.heartbeat.Draining
-	if hb.Draining {
-		a.drainUntil = clock.Now().Add(hb.DrainRemaining)
-	}
 	a.heartbeat = hb
 	if notable {
 		a.notifyChange()
