callers: a job that may be written is not refused for the age of its key

Cause: the refusal for a key that may have been withdrawn said that the job had not run, and did not ask whether an earlier submission of it may be written or was accepted. Change: such a refusal asks this entry and its peers first, as one for the store does.

--- a/internal/intake/reach.go
+++ b/internal/intake/reach.go
@@ -63,8 +63,8 @@
 }
 
 // probeStore returns the newest probe, and whether the store was lost before. It starts a probe if none
-// is in progress. If the store was lost, it also starts one if the newest is older than probeStoreInterval, as
-// a store that was silent answers only new calls.
+// is in progress. If the store was lost, it also starts one if the newest is older than
+// probeStoreInterval, as a store that was silent answers only new calls.
 func (s *Service) probeStore() (call *probeCall, lost bool) {
 	s.store.mu.Lock()
 	defer s.store.mu.Unlock()
--- a/internal/intake/service.go
+++ b/internal/intake/service.go
@@ -109,6 +109,20 @@
 	}
 }
 
+// Refuse refuses a submission without writing anything. It returns ErrUnavailable only if no earlier
+// submission of the job was or may be written, nil if one was accepted, and ErrUndecided otherwise.
+func (s *Service) Refuse(ctx context.Context, id string) error {
+	done := s.pending.begin(id)
+	if _, accepted := s.known(id); accepted {
+		return done(nil)
+	}
+	survey := s.surveyPeers(ctx, id)
+	if survey.accepted {
+		return done(nil)
+	}
+	return done(survey.qualify(fmt.Errorf("intake.Service: refuse: %w", ErrUnavailable)))
+}
+
 func (s *Service) submitOnce(ctx context.Context, j *workflow.Job) error {
 	done := s.pending.begin(j.ID)
 	err := s.execute(ctx, call{
--- a/internal/journal/hedge.go
+++ b/internal/journal/hedge.go
@@ -35,7 +35,8 @@
 }
 
 // hedged makes a call that may safely be repeated. While there is no answer, it repeats the call as h
-// says. The first answer counts. It fails with ErrUnavailable only if the store did nothing for any of the calls.
+// says. The first answer counts. It fails with ErrUnavailable only if the store did nothing for any of
+// the calls.
 func hedged[T any](ctx context.Context, h hedge, call func(context.Context) (T, error)) (T, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/journal/writer.go
+++ b/internal/journal/writer.go
@@ -90,9 +90,9 @@
 func (w *Writer) stalled() bool { return w.unavailableSince != 0 && w.sending && !w.RetryUnavailable }
 
 // Add appends the records together and returns the first one's offset. It fails with ErrRejected if
-// the store will never take them, with ErrUnavailable if nothing was or will be written, and with an UndecidedError if ctx ended before
-// the outcome was known. While the store is unavailable and a batch's outcome is open, Add fails
-// at once.
+// the store will never take them, with ErrUnavailable if nothing was or will be written, and with an
+// UndecidedError if ctx ended before the outcome was known. While the store is unavailable and a
+// batch's outcome is open, Add fails at once.
 func (w *Writer) Add(ctx context.Context, records ...Record) (int64, error) {
 	w.setDefaults()
 	e := &pendingAppend{records: records, done: make(chan struct{})}
