--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -151,6 +151,7 @@
 			time.Sleep(time.Millisecond)
 		}
 		time.Sleep(time.Second)
+		synctest.Wait() // All appends have returned.
 		for i, want := range []error{nil, nil, journal.ErrRejected, nil} {
 			if !errors.Is(got[i], want) {
 				t.Errorf("append %d: %v, want %v", i, got[i], want)
@@ -196,6 +197,7 @@
 			t.Fatal(err)
 		}
 		time.Sleep(20 * time.Millisecond)
+		synctest.Wait()
 		if applied["each"] != 100 || applied["last"] != 1 || applied["busy"] < 1 || applied["busy"] > 10 {
 			t.Errorf("applied %v, want each of 100, the last, and few that were superseded", applied)
 		}
