--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -171,6 +171,12 @@
 			}
 			return s.Read(ctx, from, wait)
 		},
+		Ping: func(ctx context.Context) error {
+			if err := l.checkLink(ctx); err != nil {
+				return err
+			}
+			return s.Ping(ctx)
+		},
 		Newest: func(ctx context.Context) (journal.Page, error) {
 			if err := l.checkLink(ctx); err != nil {
 				return journal.Page{}, err
--- a/internal/intake/reach.go
+++ b/internal/intake/reach.go
@@ -12,7 +12,7 @@
 const (
 	// recentAnswer is the age up to which an answer of the store shows that it can be reached.
 	recentAnswer = 100 * time.Millisecond
-	// probeStoreTimeout bounds a probe of the store. A slow store answers a read in 0.2 s.
+	// probeStoreTimeout bounds a probe of the store. A slow store answers in 0.2 s.
 	probeStoreTimeout = 450 * time.Millisecond
 	// lostStoreWait is how long a call waits for a probe if the one before failed. A healthy store
 	// answers in 7 ms.
@@ -78,7 +78,7 @@
 	return call, lost
 }
 
-// runProbe makes one read. Calls that come later need the outcome, too, so it doesn't end with the one
+// runProbe makes one call. Calls that come later need the outcome, too, so it doesn't end with the one
 // that started it.
 func (s *Service) runProbe(call *probeCall) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeStoreTimeout)
--- a/internal/intake/service.go
+++ b/internal/intake/service.go
@@ -42,14 +42,6 @@
 // slow store answers half a second late.
 const maxStateAge = 1400 * time.Millisecond
 
-const (
-	// freshStateAge is the age up to which the state of a job is returned without another read. An
-	// entry that isn't the planner reads the journal a few times a second.
-	freshStateAge = 20 * time.Millisecond
-	// freshStateTimeout bounds that read; a healthy store answers in 7 ms.
-	freshStateTimeout = 60 * time.Millisecond
-)
-
 // Service handles callers' jobs. Its exported fields are set before Run.
 type Service struct {
 	ClusterState *clusterstate.State
@@ -289,15 +281,6 @@
 // shop.ErrNotFound.
 func (s *Service) find(ctx context.Context, id, team string) (*clusterstate.Job, error) {
 	j, ok := s.ClusterState.Job(id)
-	if ok && !j.State().Final() && s.storeReachable() && clock.Since(s.Follower.CaughtUpAt()) > freshStateAge {
-		// Without an answer in time, the state that is known here has to do.
-		refreshCtx, cancel := context.WithTimeout(ctx, freshStateTimeout)
-		_ = s.Follower.Refresh(refreshCtx)
-		cancel()
-		if newer, known := s.ClusterState.Job(id); known {
-			j = newer
-		}
-	}
 	if !ok {
 		if err := s.Follower.Refresh(ctx); err != nil {
 			s.Log.Warn().Err(err).Str("job", id).Msg("Can't tell whether the job exists.")
--- a/internal/journal/follower.go
+++ b/internal/journal/follower.go
@@ -60,11 +60,7 @@
 	wake := f.wakeChannel()
 	for ctx.Err() == nil {
 		start := clock.Now()
-		wait := f.ReadWait
-		if f.isUnavailable() {
-			wait = 0 // The answer shows at once that the store is back.
-		}
-		if err := f.readPage(ctx, wait); err != nil && ctx.Err() == nil {
+		if err := f.readPage(ctx, f.ReadWait); err != nil && ctx.Err() == nil {
 			f.markUnavailable(err)
 			if clock.Pause(ctx, readRetryDelay) != nil {
 				break
@@ -134,8 +130,15 @@
 // AnsweredAt returns when the last answer to a read arrived, zero before the first.
 func (f *Follower) AnsweredAt() clock.Instant { return clock.Instant(f.answeredAt.Load()) }
 
-// Probe makes one read that doesn't wait for a record.
-func (f *Follower) Probe(ctx context.Context) error { return f.readPage(ctx, 0) }
+// Probe calls the store without reading records. A page of records may take longer than a caller can
+// wait, and many of them at once choke a slow link.
+func (f *Follower) Probe(ctx context.Context) error {
+	if err := f.Store.Ping(ctx); err != nil {
+		return err
+	}
+	f.answeredAt.Store(int64(clock.Now()))
+	return nil
+}
 
 // CaughtUpAt returns when the last read that reached the journal's end was sent, zero before the
 // first. All records appended before then have been applied.
@@ -174,7 +177,7 @@
 func (f *Follower) hedgedRead(ctx context.Context, wait time.Duration, call func(context.Context) (Page, error)) (Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+readTimeoutMargin)
 	defer cancel()
-	return hedged(ctx, newHedge(wait, f.isUnavailable()), call)
+	return hedged(ctx, wait+hedgeDelay, call)
 }
 
 // applyPage applies the records that are new. Reads may overlap, and the newest record of a key
@@ -222,12 +225,6 @@
 	return out
 }
 
-func (f *Follower) isUnavailable() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.unavailable
-}
-
 func (f *Follower) markUnavailable(err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/journal/hedge.go
+++ b/internal/journal/hedge.go
@@ -13,38 +13,19 @@
 	hedgeDelay = 450 * time.Millisecond
 	// maxHedgedCalls bounds the number of calls for one outcome.
 	maxHedgedCalls = 3
-	// lostHedgeDelay and maxLostHedgedCalls replace these while the store is lost, so that work goes on
-	// soon after it is back.
-	lostHedgeDelay     = 150 * time.Millisecond
-	maxLostHedgedCalls = 6
 )
 
-// hedge says when a call is repeated that gets no answer.
-type hedge struct {
-	first time.Duration // Before the second call.
-	next  time.Duration // Before each further one.
-	calls int           // At most, in all.
-}
-
-// newHedge returns the hedge for a call that may wait for a record before it is answered.
-func newHedge(wait time.Duration, lost bool) hedge {
-	if lost {
-		return hedge{first: wait + lostHedgeDelay, next: lostHedgeDelay, calls: maxLostHedgedCalls}
-	}
-	return hedge{first: wait + hedgeDelay, next: hedgeDelay, calls: maxHedgedCalls}
-}
-
-// hedged makes a call that may safely be repeated. While there is no answer, it repeats the call as h
-// says. The first answer counts. It fails with ErrUnavailable only if the store did nothing for any of
-// the calls.
-func hedged[T any](ctx context.Context, h hedge, call func(context.Context) (T, error)) (T, error) {
+// hedged makes a call that may safely be repeated. While there is no answer, it repeats the call
+// after delay and then after each hedgeDelay, up to maxHedgedCalls calls in all. The first answer
+// counts. It fails with ErrUnavailable only if the store did nothing for any of the calls.
+func hedged[T any](ctx context.Context, delay time.Duration, call func(context.Context) (T, error)) (T, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	type outcome struct {
 		value T
 		err   error
 	}
-	outcomes := make(chan outcome, h.calls)
+	outcomes := make(chan outcome, maxHedgedCalls)
 	sent, pending := 0, 0
 	send := func() {
 		sent++
@@ -55,7 +36,7 @@
 		}()
 	}
 	send()
-	timer := time.NewTimer(h.first)
+	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	var failure error
 	for {
@@ -72,9 +53,9 @@
 				return o.value, failure
 			}
 		case <-timer.C:
-			if failure == nil && sent < h.calls {
+			if failure == nil && sent < maxHedgedCalls {
 				send()
-				timer.Reset(h.next)
+				timer.Reset(hedgeDelay)
 			}
 		}
 	}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -61,6 +61,8 @@
 	Append func(ctx context.Context, p Producer, records []Record) (int64, error)
 	// Read returns records from an offset on. If there are none, it waits for one.
 	Read func(ctx context.Context, from int64, wait time.Duration) (Page, error)
+	// Ping makes a call whose answer is short and shows that the store can be reached.
+	Ping func(ctx context.Context) error
 	// Newest returns the newest record of each key. Next is an offset from which reading on misses
 	// nothing.
 	Newest func(ctx context.Context) (Page, error)
--- a/internal/journal/writer.go
+++ b/internal/journal/writer.go
@@ -240,7 +240,7 @@
 	ctx, cancel := context.WithTimeout(ctx, w.AttemptTimeout)
 	defer cancel()
 	// The sequence number lets the store recognise a repeat, so hedging is safe.
-	return hedged(ctx, newHedge(0, w.UnavailableFor() > 0), func(ctx context.Context) (int64, error) {
+	return hedged(ctx, hedgeDelay, func(ctx context.Context) (int64, error) {
 		return w.Store.Append(ctx, w.Producer, records)
 	})
 }
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -90,7 +90,7 @@
 
 // Journal returns the calls to the store.
 func (s *Store) Journal() journal.Store {
-	return journal.Store{Append: s.append, Read: s.read, Newest: s.newest}
+	return journal.Store{Append: s.append, Read: s.read, Newest: s.newest, Ping: s.beginCall}
 }
 
 // beginCall counts a call, waits for the delay and applies the fault.
