--- a/review/stand/cases.go
+++ b/review/.stand/cases.go
@@ -1,5 +1,3 @@
-//go:build review
-
 package main
 
 import (
@@ -104,6 +102,31 @@
 	return d.neverRuns("batch", id, sole)
 }
 
+// repeatedFailures makes the only executor that has a label fail all that it starts for about a second. A
+// few jobs with a single attempt fail there at the same time. Then a further job comes, and the executor is
+// sound.
+func repeatedFailures(d *deployment, trouble bool) ([]string, error) {
+	const (
+		failing = time.Second
+		jobs    = 6
+	)
+	work := step{count: 1, label: "b", demand: demand{cpu: 11000, memory: 23000, gpus: 1, work: 500 * time.Millisecond}}
+	sole := d.executors[workerCount-1]
+	sole.setFailing(trouble)
+	for range jobs {
+		if _, accepted := d.submit("once", []step{work}); !accepted {
+			return nil, fmt.Errorf("%w: a job was not accepted", errSetup)
+		}
+	}
+	time.Sleep(failing)
+	sole.setFailing(false)
+	id, accepted := d.submit("batch", []step{work})
+	if !accepted {
+		return nil, fmt.Errorf("%w: the last job was not accepted", errSetup)
+	}
+	return d.neverRuns("batch", id, sole)
+}
+
 // neverRuns waits until finishTime after the end of the traffic, and returns a break of the rule LOST if
 // the job has then had nothing running for over 3 s although its only subtask's turn has come and the
 // executor is idle.
--- a/review/stand/deployment.go
+++ b/review/.stand/deployment.go
@@ -1,5 +1,3 @@
-//go:build review
-
 package main
 
 import (
@@ -154,7 +152,8 @@
 
 const configuration = `{"version":7,"routes":[
 {"name":"r-urgent","host":"desk.example","path_prefix":"/urgent/","kind":"unsafe","timeout_ms":3000,"target_duration_ms":250,"priority":0,"service":"work","max_attempts":2,"stretch":1.5,"public":false},
-{"name":"r-batch","host":"desk.example","path_prefix":"/batch/","kind":"unsafe","timeout_ms":3000,"target_duration_ms":3000,"priority":2,"service":"work","max_attempts":4,"stretch":3.0,"public":false}],
+{"name":"r-batch","host":"desk.example","path_prefix":"/batch/","kind":"unsafe","timeout_ms":3000,"target_duration_ms":3000,"priority":2,"service":"work","max_attempts":4,"stretch":3.0,"public":false},
+{"name":"r-once","host":"desk.example","path_prefix":"/once/","kind":"unsafe","timeout_ms":3000,"target_duration_ms":3000,"priority":2,"service":"work","max_attempts":1,"stretch":3.0,"public":false}],
 "services":[{"name":"work","health_path":"/health","enforces_capacity":true}],
 "tenants":[{"name":"team-a","api_keys":["key-a"],"guaranteed":{"gpus":8}}],
 "limits":{"max_body_bytes":262144}}`
--- a/review/stand/main.go
+++ b/review/.stand/main.go
@@ -1,5 +1,3 @@
-//go:build review
-
 // Stand plays one case of the review: it starts the system's programs as separate processes, and
 // stand-ins for the platform, the executors and the clients. It exits with status 1 if the rule was
 // broken, 0 if it held, and 2 if the case couldn't run.
@@ -33,6 +31,7 @@
 // cases are the cases by name. Each returns the breaks of its rule.
 var cases = map[string]func(d *deployment, trouble bool) ([]string, error){
 	"ends":   manyEnds,
+	"pause":  repeatedFailures,
 	"retry":  retryOnSoleExecutor,
 	"silent": silentExecutor,
 }
--- a/review/stand/store.go
+++ b/review/.stand/store.go
@@ -1,5 +1,3 @@
-//go:build review
-
 package main
 
 import (
