--- a/review/.stand/cases.go
+++ b/review/.stand/cases.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"net/http"
+	"slices"
+	"sync"
 	"time"
 )
 
@@ -12,7 +15,7 @@
 		count = 700
 		work  = 5 * time.Second
 		// killAfter is the time from the first start to the kill.
-		killAfter = 4500 * time.Millisecond
+		killAfter = 4750 * time.Millisecond
 		restart   = time.Second
 	)
 	id, accepted := d.submit("batch", []step{{count: count, label: "b", demand: demand{cpu: 100, memory: 64, work: work}}})
@@ -127,32 +130,156 @@
 	return d.neverRuns("batch", id, sole)
 }
 
-// neverRuns waits until finishTime after the end of the traffic, and returns a break of the rule LOST if
-// the job has then had nothing running for over 3 s although its only subtask's turn has come and the
-// executor is idle.
+// neverRuns is waitLong for a job of one subtask that only the given executor can run.
 func (d *deployment) neverRuns(queue, id string, e *executor) ([]string, error) {
+	return d.waitLong(queue, []string{id}, func(string) bool { return e.idle() },
+		"executor "+e.id+" is idle and has room for it twice over")
+}
+
+// waitLong waits until finishTime after the end of the traffic, and returns a break of the rule LOST for
+// each job that then has had nothing running for over 3 s. waits reports whether a job has nothing running
+// although a subtask's turn has come and there is room for it.
+func (d *deployment) waitLong(queue string, ids []string, waits func(id string) bool, room string) ([]string, error) {
 	const (
 		idleTime = 3 * time.Second
 		poll     = 500 * time.Millisecond
 	)
 	end := time.Now()
 	d.record.add("the traffic ends")
-	var idleSince time.Time
-	state := ""
+	since := make(map[string]time.Time)
+	states := make(map[string]string)
 	for time.Since(end) < finishTime+idleTime+time.Second {
-		if state = d.state(queue, id); state == "completed" || state == "failed" {
-			return nil, nil
+		open := false
+		for _, id := range ids {
+			if states[id] == "completed" || states[id] == "failed" {
+				continue
+			}
+			open = true
+			states[id] = d.state(queue, id)
+			if !waits(id) {
+				delete(since, id)
+			} else if _, ok := since[id]; !ok {
+				since[id] = time.Now()
+			}
 		}
-		if !e.idle() {
-			idleSince = time.Time{}
-		} else if idleSince.IsZero() {
-			idleSince = time.Now()
+		if !open {
+			return nil, nil
 		}
 		time.Sleep(poll)
 	}
-	if idleSince.IsZero() || time.Since(idleSince) <= idleTime {
-		return nil, nil
+	var breaks []string
+	for _, id := range ids {
+		from, ok := since[id]
+		if !ok || time.Since(from) <= idleTime || states[id] == "completed" || states[id] == "failed" {
+			continue
+		}
+		breaks = append(breaks, fmt.Sprintf("LOST: job %s is shown as %q; nothing of it has run for %.1f s, though %s",
+			id, states[id], time.Since(from).Seconds(), room))
+	}
+	return breaks, nil
+}
+
+// largeFailingJob submits a job of 4,000 subtasks, each of whose runs fails. It is one of twenty jobs. Then
+// jobs come that have nothing to do with it: three subtasks, one after the other.
+func largeFailingJob(d *deployment, trouble bool) ([]string, error) {
+	const (
+		count       = 2000
+		repetitions = 2
+		smallJobs   = 19
+		failsAfter  = 30 * time.Second
+		wait        = 33 * time.Second // From the acceptance of the large job until the next ones are submitted.
+		laterJobs   = 6
+		interval    = 500 * time.Millisecond // Between two of them.
+	)
+	small := step{count: 1, demand: demand{cpu: 11000, memory: 23000, gpus: 1, work: 4 * time.Second}}
+	large := step{count: count, demand: demand{cpu: 100, memory: 64, work: time.Minute, saves: true}}
+	if trouble {
+		large.demand.failsAfter = failsAfter
+	}
+	for range smallJobs {
+		if _, accepted := d.submit("batch", []step{small}); !accepted {
+			return nil, fmt.Errorf("%w: a small job was not accepted", errSetup)
+		}
+	}
+	if _, accepted := d.submitRepeated("batch", []step{large}, repetitions); !accepted {
+		return nil, fmt.Errorf("%w: the large job was not accepted", errSetup)
+	}
+	time.Sleep(wait)
+	chain := []step{small, small, small}
+	chain[1].after, chain[2].after = []int{0}, []int{1}
+	var ids []string
+	for range laterJobs {
+		id, accepted := d.submit("urgent", chain)
+		if !accepted {
+			return nil, fmt.Errorf("%w: a later job was not accepted", errSetup)
+		}
+		ids = append(ids, id)
+		time.Sleep(interval)
+	}
+	// The large job takes 400 of the 1,408 cores and no GPU.
+	return d.waitLong("urgent", ids, func(id string) bool { return d.record.waits(id, len(chain)) },
+		"all GPUs and over two thirds of the cores are free")
+}
+
+// cancelOfOpenWrite submits jobs while the store turns silent. Callers whose submission ends without a
+// decision cancel their job, until that is acknowledged. What has been cancelled must not run on.
+func cancelOfOpenWrite(d *deployment, trouble bool) ([]string, error) {
+	const (
+		storeSilence = 5300 * time.Millisecond
+		jobs         = 60
+		interval     = 10 * time.Millisecond // Between two submissions.
+		silentAfter  = 300 * time.Millisecond
+		cancelTime   = 3 * time.Second // cancel_ms.
+		stopBound    = 200 * time.Millisecond
+		retryDelay   = 100 * time.Millisecond
+		patience     = 15 * time.Second
+	)
+	work := step{count: 1, demand: demand{cpu: 1000, memory: 1000, work: 11 * time.Second}}
+	if trouble {
+		defer time.AfterFunc(silentAfter, func() { d.setStoreSilent(true) }).Stop()
+		defer time.AfterFunc(silentAfter+storeSilence, func() { d.setStoreSilent(false) }).Stop()
+	}
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	cancelled := make(map[string]time.Time) // When the cancel was acknowledged, by job.
+	for i := range jobs {
+		group.Go(func() {
+			id := newID()
+			d.mu.Lock()
+			d.jobs[id] = []step{work}
+			d.mu.Unlock()
+			body := d.jobBody(id, []step{work}, 0)
+			if status, _ := d.call(d.entries[i%entryCount], http.MethodPost, "/batch/"+id, body); status == http.StatusOK && trouble || status == http.StatusServiceUnavailable {
+				return // Its outcome is known.
+			}
+			for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(retryDelay) {
+				status, _ := d.call(d.entries[(i+1)%entryCount], http.MethodDelete, "/batch/"+id, nil)
+				if status == http.StatusOK || status == http.StatusGone {
+					mu.Lock()
+					cancelled[id] = time.Now()
+					mu.Unlock()
+					return
+				}
+			}
+		})
+		time.Sleep(interval)
+	}
+	group.Wait()
+	if len(cancelled) == 0 {
+		return nil, fmt.Errorf("%w: no submission was left open", errSetup)
+	}
+	time.Sleep(work.demand.work + 2*time.Second)
+	var breaks []string
+	for id, at := range cancelled {
+		run, ok := d.record.lastRun(id + ".0.0.0")
+		late := at.Add(cancelTime + stopBound)
+		switch {
+		case ok && run.from.After(at.Add(cancelTime)):
+			breaks = append(breaks, fmt.Sprintf("UNASKED: %s started %v after its cancel was acknowledged", run.task, run.from.Sub(at)))
+		case ok && (run.to.IsZero() || run.to.After(late)):
+			breaks = append(breaks, fmt.Sprintf("UNASKED: %s ran on until %v after its cancel was acknowledged", run.task, run.to.Sub(at)))
+		}
 	}
-	return []string{fmt.Sprintf("LOST: job %s is shown as %q; nothing of it has run for %.1f s, though executor %s is idle and has room for it twice over",
-		id, state, time.Since(idleSince).Seconds(), e.id)}, nil
+	slices.Sort(breaks)
+	return breaks, nil
 }
--- a/review/.stand/deployment.go
+++ b/review/.stand/deployment.go
@@ -86,6 +86,7 @@
 	label  string
 	demand demand
 	lasts  bool
+	after  []int // Numbers of the steps that it depends on.
 }
 
 // loopback returns the first three numbers of loopback addresses that are free.
@@ -342,12 +343,8 @@
 	return resp.StatusCode, string(data)
 }
 
-// submit hands a job in, at one entry after the other until it is accepted or refused at the last try.
-func (d *deployment) submit(queue string, steps []step) (id string, accepted bool) {
-	id = newID()
-	d.mu.Lock()
-	d.jobs[id] = steps
-	d.mu.Unlock()
+// jobBody returns the body of the call that submits a job.
+func (d *deployment) jobBody(id string, steps []step, repetitions int) []byte {
 	var list []map[string]any
 	for _, s := range steps {
 		m := map[string]any{"count": s.count, "cpu": s.demand.cpu, "mem_mb": s.demand.memory, "estimated_ms": s.demand.work.Milliseconds()}
@@ -360,12 +357,38 @@
 		if s.lasts {
 			m["long_running"] = true
 		}
+		if len(s.after) > 0 {
+			m["depends_on"] = s.after
+		}
+		if s.demand.saves {
+			m["checkpointing"] = true
+		}
 		list = append(list, m)
 	}
-	body, err := json.Marshal(map[string]any{"task_spec": "text of " + id, "steps": list})
+	job := map[string]any{"task_spec": "text of " + id, "steps": list}
+	if repetitions > 0 {
+		job["repetitions"], job["start_at_ms"], job["interval_ms"] = repetitions, time.Now().UnixMilli(), 1000
+	}
+	body, err := json.Marshal(job)
 	if err != nil {
 		panic(err) // Numbers and strings can always be encoded.
 	}
+	return body
+}
+
+// submit hands a job in, at one entry after the other until it is accepted or refused at the last try.
+func (d *deployment) submit(queue string, steps []step) (id string, accepted bool) {
+	return d.submitRepeated(queue, steps, 0)
+}
+
+// submitRepeated is submit for a job whose steps run so many times, at an interval of a second. Zero is for
+// a job that isn't scheduled.
+func (d *deployment) submitRepeated(queue string, steps []step, repetitions int) (id string, accepted bool) {
+	id = newID()
+	d.mu.Lock()
+	d.jobs[id] = steps
+	d.mu.Unlock()
+	body := d.jobBody(id, steps, repetitions)
 	const tries = 5
 	for i := range tries {
 		status, _ := d.call(d.entries[i%entryCount], http.MethodPost, "/"+queue+"/"+id, body)
--- a/review/.stand/executor.go
+++ b/review/.stand/executor.go
@@ -23,12 +23,17 @@
 	heartbeatInterval = 1500 * time.Millisecond
 	failTime          = 100 * time.Millisecond // After which a run fails on a faulty executor.
 	clockTick         = 5 * time.Millisecond
+
+	checkpointInterval = time.Second
+	restoreTime        = 100 * time.Millisecond
 )
 
 // demand is what a subtask needs.
 type demand struct {
 	cpu, memory, gpus int
 	work              time.Duration
+	saves             bool          // It checkpoints its progress.
+	failsAfter        time.Duration // Each run fails so long after its start; zero if it doesn't.
 }
 
 // executor stands in for one lifetime of a worker. It runs subtasks for as long as its lease lasts.
@@ -56,11 +61,32 @@
 }
 
 type run struct {
-	number  int64
-	started time.Duration
-	demand  demand
-	fails   bool
-	stopAt  time.Duration // When it will have been stopped; zero if no stop was ordered.
+	number   int64
+	started  time.Duration // When it would have started had it done all its work in this run.
+	demand   demand
+	failAt   time.Duration // When it fails; zero if it doesn't.
+	stopAt   time.Duration // When it will have been stopped; zero if no stop was ordered.
+	restored time.Duration // The work of the checkpoint that it started from.
+}
+
+// worked returns how much of its work a run has done.
+func (r *run) worked(now time.Duration) time.Duration {
+	return min(r.demand.work, max(r.restored, now-r.started))
+}
+
+// checkpointPrefix is what checkpoints begin with. The milliseconds of work follow in hexadecimal digits.
+const checkpointPrefix = "save"
+
+// checkpoint returns a run's newest checkpoint, which is empty if there is none.
+func (r *run) checkpoint(now time.Duration) string {
+	saved := r.worked(now).Truncate(checkpointInterval)
+	if r.stopAt != 0 && now >= r.stopAt {
+		saved = r.worked(now)
+	}
+	if saved = max(saved, r.restored); !r.demand.saves || saved == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%s%016x", checkpointPrefix, saved.Milliseconds())
 }
 
 type end struct {
@@ -68,6 +94,7 @@
 	task   string
 	run    int64
 	how    string
+	saved  string
 	lapses int64 // Of the executor's lease when the run ended.
 }
 
@@ -114,7 +141,7 @@
 	}
 	var over []string
 	for task, r := range e.running {
-		if now >= e.deadline || r.stopAt != 0 && now >= r.stopAt || now >= r.started+r.demand.work || r.fails && now >= r.started+failTime {
+		if now >= e.deadline || r.stopAt != 0 && now >= r.stopAt || r.failAt == 0 && now >= r.started+r.demand.work || r.failAt != 0 && now >= r.failAt {
 			over = append(over, task)
 		}
 	}
@@ -127,13 +154,13 @@
 			how = "lapsed"
 		case r.stopAt != 0 && now >= r.stopAt:
 			how = "stopped"
-		case r.fails:
+		case r.failAt != 0 && now >= r.failAt:
 			how = "failed"
 		}
 		delete(e.running, task)
 		e.barred[task] = max(e.barred[task], r.number)
 		e.endCount++
-		e.ends = append(e.ends, end{e.endCount, task, r.number, how, e.lapses})
+		e.ends = append(e.ends, end{e.endCount, task, r.number, how, r.checkpoint(now), e.lapses})
 		e.record.ended(e, task, r.number, how, e.endCount)
 	}
 	if len(over) > 0 {
@@ -208,6 +235,8 @@
 	Fence    int64  `json:"fencing_token"`
 	LastSeen int64  `json:"last_seen"`
 	Wait     int64  `json:"wait_ms"`
+
+	Checkpoint string `json:"checkpoint"`
 }
 
 // ServeHTTP answers a call of the agent.
@@ -309,11 +338,28 @@
 		return
 	}
 	e.extend(o)
-	e.running[o.Task] = &run{number: o.Run, started: e.clock(), demand: d, fails: e.failing}
+	e.running[o.Task] = e.newRun(o, d)
 	e.record.started(e, o.Task, o.Run, known)
 	e.answer(w, http.StatusOK, "", nil)
 }
 
+// newRun returns the run that an order starts. The caller holds mu.
+func (e *executor) newRun(o order, d demand) *run {
+	now := e.clock()
+	r := &run{number: o.Run, started: now, demand: d}
+	if ms, err := strconv.ParseInt(strings.TrimPrefix(o.Checkpoint, checkpointPrefix), 16, 64); err == nil && d.saves {
+		r.restored = time.Duration(ms) * time.Millisecond
+		r.started = now + restoreTime - r.restored
+	}
+	switch {
+	case e.failing:
+		r.failAt = now + failTime
+	case d.failsAfter > 0:
+		r.failAt = now + d.failsAfter
+	}
+	return r
+}
+
 func (e *executor) stop(w http.ResponseWriter, o order) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -361,12 +407,12 @@
 	}
 	running, finished := [][]any{}, [][]any{}
 	for task, run := range e.running {
-		percent := int(100 * (e.clock() - run.started) / max(1, run.demand.work))
-		running = append(running, []any{task, run.number, "", percent, run.demand.cpu})
+		percent := int(100 * run.worked(e.clock()) / max(1, run.demand.work))
+		running = append(running, []any{task, run.number, run.checkpoint(e.clock()), percent, run.demand.cpu})
 	}
 	slices.SortFunc(running, func(a, b []any) int { return strings.Compare(a[0].(string), b[0].(string)) })
 	for _, n := range e.ends[:min(len(e.ends), endsPerReply)] {
-		finished = append(finished, []any{n.number, n.task, n.run, n.how, ""})
+		finished = append(finished, []any{n.number, n.task, n.run, n.how, n.saved})
 	}
 	e.answer(w, http.StatusOK, "", map[string]any{"running": running, "finished": finished})
 }
--- a/review/.stand/main.go
+++ b/review/.stand/main.go
@@ -30,7 +30,9 @@
 
 // cases are the cases by name. Each returns the breaks of its rule.
 var cases = map[string]func(d *deployment, trouble bool) ([]string, error){
+	"cancel": cancelOfOpenWrite,
 	"ends":   manyEnds,
+	"large":  largeFailingJob,
 	"pause":  repeatedFailures,
 	"retry":  retryOnSoleExecutor,
 	"silent": silentExecutor,
--- a/review/.stand/record.go
+++ b/review/.stand/record.go
@@ -105,6 +105,25 @@
 	return len(tasks)
 }
 
+// waits reports whether a job has nothing running although not all of its subtasks have ended done.
+func (r *record) waits(job string, subtasks int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	done := make(map[string]bool)
+	for _, s := range r.runs {
+		if id, _, err := taskOf(s.task); err != nil || id != job {
+			continue
+		}
+		if s.to.IsZero() {
+			return false
+		}
+		if s.how == "done" {
+			done[s.task] = true
+		}
+	}
+	return len(done) < subtasks
+}
+
 // lastRun returns the run of a subtask that started last.
 func (r *record) lastRun(task string) (seenRun, bool) {
 	r.mu.Lock()
