--- a/review/.stand/cases.go
+++ b/review/.stand/cases.go
@@ -283,3 +283,38 @@
 	slices.Sort(breaks)
 	return breaks, nil
 }
+
+// largeGangs submits two large gangs at once, while three long subtasks fill three of the executors. The
+// gangs have to wait for them. Then small jobs come, for which there is room.
+func largeGangs(d *deployment, trouble bool) ([]string, error) {
+	const (
+		longTasks = 3
+		wait      = 12 * time.Second // From the gangs to the small jobs.
+		smallJobs = 4
+	)
+	long := step{count: longTasks, demand: demand{cpu: 52000, memory: 140000, gpus: 8, work: 40 * time.Second}}
+	large := step{demand: demand{cpu: 52000, memory: 140000, gpus: 8, work: 11 * time.Second}, gang: true}
+	small := step{count: 1, demand: demand{cpu: 11000, memory: 23000, gpus: 1, work: 6 * time.Second}}
+	if _, accepted := d.submit("large", []step{long}); !accepted {
+		return nil, fmt.Errorf("%w: the long job was not accepted", errSetup)
+	}
+	time.Sleep(time.Second)
+	if trouble {
+		for _, width := range []int{9, 2} {
+			large.count = width
+			if _, accepted := d.submit("large", []step{large}); !accepted {
+				return nil, fmt.Errorf("%w: a gang was not accepted", errSetup)
+			}
+		}
+	}
+	time.Sleep(wait)
+	var ids []string
+	for range smallJobs {
+		id, accepted := d.submit("batch", []step{small})
+		if !accepted {
+			return nil, fmt.Errorf("%w: a small job was not accepted", errSetup)
+		}
+		ids = append(ids, id)
+	}
+	return d.waitLong("batch", ids, func(id string) bool { return d.record.waits(id, 1) }, "8 of 11 executors are idle")
+}
--- a/review/.stand/deployment.go
+++ b/review/.stand/deployment.go
@@ -86,6 +86,7 @@
 	label  string
 	demand demand
 	lasts  bool
+	gang   bool
 	after  []int // Numbers of the steps that it depends on.
 }
 
@@ -153,6 +154,7 @@
 
 const configuration = `{"version":7,"routes":[
 {"name":"r-urgent","host":"desk.example","path_prefix":"/urgent/","kind":"unsafe","timeout_ms":3000,"target_duration_ms":250,"priority":0,"service":"work","max_attempts":2,"stretch":1.5,"public":false},
+{"name":"r-large","host":"desk.example","path_prefix":"/large/","kind":"unsafe","timeout_ms":3000,"target_duration_ms":1000,"priority":1,"service":"work","max_attempts":2,"stretch":3.0,"public":false},
 {"name":"r-batch","host":"desk.example","path_prefix":"/batch/","kind":"unsafe","timeout_ms":3000,"target_duration_ms":3000,"priority":2,"service":"work","max_attempts":4,"stretch":3.0,"public":false},
 {"name":"r-once","host":"desk.example","path_prefix":"/once/","kind":"unsafe","timeout_ms":3000,"target_duration_ms":3000,"priority":2,"service":"work","max_attempts":1,"stretch":3.0,"public":false}],
 "services":[{"name":"work","health_path":"/health","enforces_capacity":true}],
@@ -357,6 +359,9 @@
 		if s.lasts {
 			m["long_running"] = true
 		}
+		if s.gang {
+			m["gang"] = true
+		}
 		if len(s.after) > 0 {
 			m["depends_on"] = s.after
 		}
--- a/review/.stand/main.go
+++ b/review/.stand/main.go
@@ -33,6 +33,7 @@
 	"cancel": cancelOfOpenWrite,
 	"ends":   manyEnds,
 	"large":  largeFailingJob,
+	"gangs":  largeGangs,
 	"pause":  repeatedFailures,
 	"retry":  retryOnSoleExecutor,
 	"silent": silentExecutor,
