dispatch: ends of a job whose records were rejected are not acknowledged

Cause: a job whose records the store has rejected waits a second before they are stored again. Passes in between left the job out, but counted all applied ends as stored, so that the worker forgot the ends of this job's runs. A planner that took over then started tasks again that had ended as done (TWICE).

Change: a job remembers the first unstored end on each worker; ends from there on are not acknowledged until the job's records are stored.

TestEndsOfRejectedRecordsAreNotAcknowledged failed before in two of three cases: "a.0.0.0 was started again (run 2) after run 1 had ended as done".

--- a/internal/dispatch/active.go
+++ b/internal/dispatch/active.go
@@ -368,9 +368,23 @@
 			b.storedEnds[w] = w.appliedEnds
 		}
 	}
+	ap.withholdUnstored(b.storedEnds)
 	return b
 }
 
+// withholdUnstored lowers up to which numbers a batch stores run ends to those before the ends of jobs that are
+// not in it, as the store has rejected their records.
+func (ap *activePlanner) withholdUnstored(stored map[*worker]endPosition) {
+	for _, j := range ap.jobs {
+		for w, first := range j.unstoredEnds {
+			if end, ok := stored[w]; ok && end.lifetime == first.lifetime && end.number >= first.number {
+				end.number = first.number - 1
+				stored[w] = end
+			}
+		}
+	}
+}
+
 // expired reports whether a job has been final for longer than the retention.
 func (ap *activePlanner) expired(j *job) bool {
 	if !j.final() || j.liveMembers() > 0 {
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -24,7 +24,9 @@
 	finalizedAt    clock.Instant                 // When this planner made it final; zero if it didn't.
 	finalSent      bool                          // Its final state is in a batch that was passed to the store.
 	unitStates     map[clusterstate.UnitKey]*unitState
-	deferred       map[[2]int]bool // Occurrence and step of each deferral that was logged.
+	// Of each worker, the first end of a run of this job that is not stored, or is being stored.
+	unstoredEnds, storingEnds map[*worker]endPosition
+	deferred                  map[[2]int]bool // Occurrence and step of each deferral that was logged.
 }
 
 // unitState is what the planner knows of a unit in addition to its progress. It is not stored.
@@ -101,9 +103,21 @@
 	records, j.progress.Split = clusterstate.ProgressRecords(j.spec, j.progress, j.changed)
 	j.dirty = false
 	clear(j.changed)
+	j.unstoredEnds, j.storingEnds = nil, j.unstoredEnds
 	return records
 }
 
+// recordEnd records that the job's progress has the end of a run, which is not stored yet.
+func (j *job) recordEnd(w *worker, end endPosition) {
+	if first, ok := j.unstoredEnds[w]; ok && first.lifetime == end.lifetime && first.number < end.number {
+		return
+	}
+	if j.unstoredEnds == nil {
+		j.unstoredEnds = make(map[*worker]endPosition)
+	}
+	j.unstoredEnds[w] = end
+}
+
 // storeRetryDelay is the delay before records that the store has rejected are stored again.
 const storeRetryDelay = time.Second
 
@@ -114,6 +128,10 @@
 	for k := range j.progress.Units {
 		j.changed[k] = true
 	}
+	for w, end := range j.storingEnds {
+		j.recordEnd(w, end)
+	}
+	j.storingEnds = nil
 }
 
 // removeMember removes a member whose run has ended from its unit's progress.
--- a/internal/dispatch/large_test.go
+++ b/internal/dispatch/large_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -105,3 +106,31 @@
 		}
 	})
 }
+
+// The store rejects the records of a job whose tasks have ended, and the planner is replaced before they are
+// stored. The ends must not be acknowledged to the worker before.
+func TestEndsOfRejectedRecordsAreNotAcknowledged(t *testing.T) {
+	for _, wait := range []time.Duration{300 * time.Millisecond, 1500 * time.Millisecond, 5 * time.Second} {
+		t.Run(wait.String(), func(t *testing.T) {
+			withVirtualTime(t, func(t *testing.T) {
+				c := newCluster(t, 2, 1)
+				checker := c.watchRuns()
+				time.Sleep(3 * time.Second)
+				c.submit("a", "red", "batch", small(2, 3))
+				time.Sleep(time.Second)
+				c.store.Reject("p/a")
+				c.submit("other", "blue", "batch", task(0.5, 1), after(task(0.5, 1), 0))
+				c.await(3*time.Second, shop.Done, "other")
+				time.Sleep(wait)
+				killed := c.planner()
+				killed.kill()
+				c.mu.Lock()
+				c.entries = slices.DeleteFunc(c.entries, func(e *entry) bool { return e == killed })
+				c.mu.Unlock()
+				c.store.Reject("")
+				c.await(15*time.Second, shop.Done, "a")
+				c.reportViolations(checker)
+			})
+		})
+	}
+}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -142,6 +142,7 @@
 	if !ok || m.run != int(e.GetRun()) || m.worker != w || !m.mayRunIn(w.lifetime) {
 		return // An earlier planner stored the end, or the run was known to have ended.
 	}
+	m.job.recordEnd(w, w.appliedEnds)
 	end := host.End(e.GetEnd())
 	ap.updateHealth(w, m, end)
 	ap.runEnded(m, end, e.GetCheckpoint(), "listed")
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -31,6 +32,7 @@
 	grown         chan struct{} // Closed when records are appended; nil if nobody waits.
 	fault         StoreFault
 	answersToLose int // The number of next appends that take effect but are not answered.
+	rejectPrefix  string
 	calls         int
 }
 
@@ -71,6 +73,13 @@
 	s.answersToLose = n
 }
 
+// Reject makes the store reject appends with a record whose key begins with a prefix; an empty one ends that.
+func (s *Store) Reject(prefix string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rejectPrefix = prefix
+}
+
 // DropHistory drops the history, so that only each key's newest record can be read.
 func (s *Store) DropHistory() {
 	s.mu.Lock()
@@ -139,6 +148,10 @@
 	if tooLarge := func(r journal.Record) bool { return len(r.Value) > s.MaxRecord }; s.MaxRecord > 0 && slices.ContainsFunc(records, tooLarge) {
 		return 0, false, fmt.Errorf("standin.Store: %w", journal.ErrRejected)
 	}
+	rejected := func(r journal.Record) bool { return strings.HasPrefix(r.Key, s.rejectPrefix) }
+	if s.rejectPrefix != "" && slices.ContainsFunc(records, rejected) {
+		return 0, false, fmt.Errorf("standin.Store: %w", journal.ErrRejected)
+	}
 	size := 0
 	for _, r := range records {
 		size += len(r.Value)
