platform: each process tells the build of its program

It is the linker's id of the program, with the revision before it where that was stamped in.

Address records without a build count as "unknown".

--- a/cmd/sniperill/main.go
+++ b/cmd/sniperill/main.go
@@ -10,6 +10,7 @@
 	"github.com/gravitational/trace"
 	"github.com/urfave/cli/v3"
 
+	"sniperill.example/sniperill/internal/telemetry"
 	"sniperill.example/sniperill/pkg/shop"
 )
 
@@ -69,6 +70,7 @@
 		Name:        "sniperill",
 		Usage:       "schedule multi-accelerator jobs under team guarantees",
 		Description: helpMain,
+		Version:     telemetry.Build(),
 		Commands: []*cli.Command{
 			tryCommand(), upCommand(),
 			entryCommand(), agentCommand(), standInCommand(), checkCommand(), keysCommand(),
--- a/internal/dispatch/active.go
+++ b/internal/dispatch/active.go
@@ -1,9 +1,11 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -150,7 +152,7 @@
 	ap.loadState()
 	stepUps.Inc()
 	ap.Log.Info().Int64("epoch", ap.epoch).Int("jobs", len(ap.jobs)).Int("agents", len(ap.workers)).
-		Int("tasks", len(ap.members)).Msg("Planning.")
+		Int("tasks", len(ap.members)).Interface("builds", ap.builds()).Msg("Planning.")
 	for {
 		if err := ap.runPass(ctx); err != nil {
 			return err
@@ -220,6 +222,15 @@
 	})
 }
 
+// builds counts the processes that have registered, by the builds of their programs.
+func (ap *activePlanner) builds() map[string]int {
+	out := make(map[string]int)
+	for _, a := range slices.Concat(ap.ClusterState.Entries(), ap.ClusterState.Agents()) {
+		out[cmp.Or(a.Build, "unknown")]++
+	}
+	return out
+}
+
 // adopt takes over a job and the runs that earlier planners claimed for it.
 func (ap *activePlanner) adopt(stored *clusterstate.Job) {
 	j := newJob(stored)
