--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -50,8 +50,9 @@
 	runs           runRecorder
 	submittedSteps sync.Map // Submitted steps by job.
 	log            zerolog.Logger
-	// earlierAgents makes the agents answer as those of earlier versions.
-	earlierAgents atomic.Bool
+	// earlierAgents has the addresses of the agents that answer as those of earlier versions.
+	earlierAgents sync.Map
+	network       network
 }
 
 // entry is a process that accepts jobs and may plan.
@@ -74,6 +75,7 @@
 	machine    standin.Machine
 	kill       context.CancelFunc
 	heartbeats atomic.Int64
+	network    *network // Between the process and the worker.
 	// beforeStart, if set, is called with each start before it reaches the worker.
 	beforeStart func(host.Start)
 	thawed      atomic.Pointer[chan struct{}] // Closed when polls of a frozen agent make progress again.
@@ -99,9 +101,9 @@
 // worker returns the worker's calls with beforeStart applied.
 func (a *agent) worker() host.Worker {
 	w := a.machine.Worker()
-	poll, start := w.Poll, w.Start
+	poll, start, stop := w.Poll, w.Start, w.Stop
 	w.Poll = func(ctx context.Context, r host.PollRequest) (host.WorkerState, error) {
-		state, err := poll(ctx, r)
+		state, err := carry(ctx, a.network, func(ctx context.Context) (host.WorkerState, error) { return poll(ctx, r) })
 		if thawed := a.thawed.Load(); thawed != nil {
 			<-*thawed
 		}
@@ -111,7 +113,12 @@
 		if a.beforeStart != nil {
 			a.beforeStart(s)
 		}
-		return start(ctx, s)
+		_, err := carry(ctx, a.network, func(ctx context.Context) (struct{}, error) { return struct{}{}, start(ctx, s) })
+		return err
+	}
+	w.Stop = func(ctx context.Context, s host.Stop) error {
+		_, err := carry(ctx, a.network, func(ctx context.Context) (struct{}, error) { return struct{}{}, stop(ctx, s) })
+		return err
 	}
 	return w
 }
@@ -351,8 +358,10 @@
 
 // Watch removes what agents of earlier versions don't say.
 func (c versionedClient) Watch(ctx context.Context, r *connect.Request[pb.WatchRequest]) (*connect.Response[pb.WatchResponse], error) {
-	resp, err := c.agentClient.Watch(ctx, r)
-	if err == nil && c.cluster.earlierAgents.Load() {
+	resp, err := carry(ctx, &c.cluster.network, func(ctx context.Context) (*connect.Response[pb.WatchResponse], error) {
+		return c.agentClient.Watch(ctx, r)
+	})
+	if _, earlier := c.cluster.earlierAgents.Load(c.address); earlier && err == nil {
 		resp.Msg.MoreEnded = false
 	}
 	return resp, err
@@ -361,26 +370,32 @@
 // Order answers for an agent of an earlier version: a stopped run that the worker doesn't list right after the
 // stop is absent.
 func (c versionedClient) Order(ctx context.Context, r *connect.Request[pb.OrderRequest]) (*connect.Response[pb.OrderResponse], error) {
-	resp, err := c.agentClient.Order(ctx, r)
-	if err != nil || !c.cluster.earlierAgents.Load() {
-		return resp, err
-	}
-	for _, result := range resp.Msg.GetResults() {
-		result.EndsSeen = false
-		if result.GetOutcome() != pb.Outcome_OUTCOME_STOPPING {
-			continue
+	return carry(ctx, &c.cluster.network, func(ctx context.Context) (*connect.Response[pb.OrderResponse], error) {
+		_, earlier := c.cluster.earlierAgents.Load(c.address)
+		if earlier {
+			r.Msg.StoredEnd = 0 // Not known to such an agent.
 		}
-		state, err := c.cluster.agentAt(c.address).machine.Worker().Poll(ctx, host.PollRequest{Lifetime: r.Msg.GetLifetime(), Epoch: r.Msg.GetEpoch()})
-		if err != nil {
-			return nil, err
+		resp, err := c.agentClient.Order(ctx, r)
+		if err != nil || !earlier {
+			return resp, err
 		}
-		task, run := result.GetTask(), int(result.GetRun())
-		if !slices.ContainsFunc(state.Running, func(o host.Running) bool { return o.Task == task && o.Run == run }) &&
-			!slices.ContainsFunc(state.Ended, func(o host.Ended) bool { return o.Task == task && o.Run == run }) {
-			result.Outcome = pb.Outcome_OUTCOME_ABSENT
+		for _, result := range resp.Msg.GetResults() {
+			result.EndsSeen = false
+			if result.GetOutcome() == pb.Outcome_OUTCOME_STOPPING && !c.listed(ctx, r.Msg, result) {
+				result.Outcome = pb.Outcome_OUTCOME_ABSENT
+			}
 		}
-	}
-	return resp, nil
+		return resp, nil
+	})
+}
+
+// listed reports whether the worker lists a run, or may list it, as it gives no answer.
+func (c versionedClient) listed(ctx context.Context, r *pb.OrderRequest, o *pb.OrderResult) bool {
+	state, err := c.cluster.agentAt(c.address).worker().Poll(ctx, host.PollRequest{Lifetime: r.GetLifetime(), Epoch: r.GetEpoch()})
+	task, run := o.GetTask(), int(o.GetRun())
+	return err != nil ||
+		slices.ContainsFunc(state.Running, func(o host.Running) bool { return o.Task == task && o.Run == run }) ||
+		slices.ContainsFunc(state.Ended, func(o host.Ended) bool { return o.Task == task && o.Run == run })
 }
 
 // agentAt returns the agent at an address.
@@ -442,7 +457,7 @@
 	incarnation := fmt.Sprint(time.Now().UnixNano())
 	writer := &journal.Writer{Store: store, Producer: journal.Producer{Name: name + "/" + incarnation, Epoch: 1}, Log: log}
 	e.state = &clusterstate.State{}
-	follower := &journal.Follower{Store: store, Log: log, Apply: func(r journal.Record) {
+	follower := &journal.Follower{Store: store, Superseded: clusterstate.Superseded, Log: log, Apply: func(r journal.Record) {
 		if err := e.state.Apply(r); err != nil {
 			c.t.Error(err)
 		}
@@ -513,7 +528,7 @@
 }
 
 func (c *cluster) startAgent(name string, number int) *agent {
-	a := &agent{name: name}
+	a := &agent{name: name, network: &c.network}
 	a.machine.SetExecutor(c.newExecutor(name, 1))
 	rack := fmt.Sprintf("r1-%d", number/3)
 	c.startAgentProcess(a, rack)
--- a/internal/dispatch/ends_test.go
+++ b/internal/dispatch/ends_test.go
@@ -31,7 +31,9 @@
 					c := newClusterWith(t, 2, 1, func(*standin.Store) {}, func(e *standin.Executor) {
 						e.MaxEnded, e.CutsSilently = tt.listed, tt.cutsSilently
 					})
-					c.earlierAgents.Store(tt.earlierAgents)
+					if tt.earlierAgents {
+						c.earlierAgents.Store(agentAddress(c.agents[0].name), true)
+					}
 					checker := c.watchRuns()
 					time.Sleep(3 * time.Second)
 					c.submit("a", "red", "batch", small(5, tt.tasks))
@@ -59,7 +61,9 @@
 		t.Run(fmt.Sprint("agents of an earlier version: ", earlier), func(t *testing.T) {
 			withVirtualTime(t, func(t *testing.T) {
 				c := newCluster(t, 2, 1)
-				c.earlierAgents.Store(earlier)
+				if earlier {
+					c.earlierAgents.Store(agentAddress(c.agents[0].name), true)
+				}
 				checker := c.watchRuns()
 				time.Sleep(3 * time.Second)
 				for i := range 40 {
