clusterstate: an address record with an odd build names no process

The build of an address record is logged by each planner. One of another writer could have any length; records with over 100 bytes now count as another writer's, like those with a port out of range. A row of TestOddRecordsChangeNothing failed before.

--- a/internal/clusterstate/record.go
+++ b/internal/clusterstate/record.go
@@ -36,6 +36,9 @@
 	Worker *workflow.Worker `json:"worker,omitempty"`
 }
 
+// maxBuild is the maximum length of a build in an address, in bytes.
+const maxBuild = 100
+
 // check returns an error if the address can't be that of a process of this system.
 func (a Address) check() error {
 	host, port, err := net.SplitHostPort(a.Address)
@@ -45,6 +48,9 @@
 	if n, err := strconv.ParseUint(port, 10, 16); host == "" || err != nil || n == 0 {
 		return fmt.Errorf("%w: address %q has no host, or a port out of range", errOther, a.Address)
 	}
+	if len(a.Build) > maxBuild {
+		return fmt.Errorf("%w: build of %d bytes", errOther, len(a.Build))
+	}
 	if w := a.Worker; w != nil && (w.Service == "" || !w.Resources.Valid()) {
 		return fmt.Errorf("%w: worker of service %q with %+v", errOther, w.Service, w.Resources)
 	}
--- a/internal/clusterstate/state_test.go
+++ b/internal/clusterstate/state_test.go
@@ -149,6 +149,7 @@
 		{"1e999", "w/x", worker(`"accelerators":1e999`)},
 		{"a negative number", "w/x", worker(`"accelerators":-8`)},
 		{"a fraction", "w/x", worker(`"accelerators":0.5`)},
+		{"a build of a megabyte", "w/x", `{"address":"10.1.0.26:7180","build":"` + strings.Repeat("b", 1<<20) + `"}`},
 		{"amounts that overflow", "w/x", worker(`"memory-mb":9223372036854775807`)},
 		{"nested deeply", "w/x", deep},
 		{"invalid UTF-8", "w/x", "\xff\xfe"},
