--- a/internal/schedule/plan_test.go
+++ b/internal/schedule/plan_test.go
@@ -357,3 +357,30 @@
 		})
 	}
 }
+
+// Too few workers are left for all guarantees. Urgent work that runs within its team's guarantee is not stopped
+// for another team's: one of them must wait, and stopping would throw work away as well. What waits goes first as
+// soon as there is room, before urgent work beyond a guarantee that was submitted earlier.
+func TestGuaranteesBeyondWorkersThatAreLeft(t *testing.T) {
+	gang := newStep(4)
+	gang.Gang, gang.Count = true, 3
+	running := runningUnit("first", 0, gang, 0, 0, 1)
+	running.Submitted = testStart
+	within := waitingUnit(newStep(8), 1)
+	within.Team, within.Priority, within.Submitted = "second", 0, testStart.Add(3*time.Second)
+	beyond := waitingUnit(newStep(4), 4)
+	beyond.Team, beyond.Priority, beyond.Submitted = "third", 0, testStart.Add(time.Second)
+	v := &schedule.View{
+		Now: testStart.Add(6 * time.Second), Workers: newWorkers(2), Running: []schedule.RunningUnit{running},
+		Waiting: []schedule.WaitingUnit{beyond, within}, SpreadCounts: []map[int]int{nil},
+		Guaranteed: map[string]int{"first": 16, "second": 8, "third": 8},
+	}
+	if plan := schedule.ComputePlan(v); len(plan.Starts)+len(plan.Preemptions) != 0 {
+		t.Errorf("with 16 accelerators for guarantees of 32: %+v, want no starts and no preemptions", plan)
+	}
+	v.Running = nil
+	want := []schedule.Start{{WaitingIndex: 1, Workers: []int{0}}}
+	if diff := cmp.Diff(want, schedule.ComputePlan(v).Starts); diff != "" {
+		t.Errorf("starts after the first team's work (-want +got):\n%s", diff)
+	}
+}
