dispatch: the end of a late start in a restarted worker counts in its first report

Callers' tasks ran again after they had ended as done (TWICE): a worker crashed and restarted under its id while a start was on its way, the run took effect and ended in the new lifetime, and its end came with the first report from there.

Cause: which claimed runs a new lifetime may have was noted in the pass after the report; the report's ends had been applied, ignored and acknowledged by then. With a new lifetime that seems older, as the time of day jumped back, it wasn't noted.

Change: noted before the ends are applied; an end as done counts in any lifetime of the id.

TestEndOfLateStartInRestartedWorkerCounts failed before in all four cases.

--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -75,7 +75,8 @@
 	machine    standin.Machine
 	kill       context.CancelFunc
 	heartbeats atomic.Int64
-	network    *network // Between the process and the worker.
+	network    *network                         // Between the process and the worker.
+	polled     atomic.Pointer[standin.Executor] // The one to which the connection for polls is open.
 	// beforeStart, if set, is called with each start before it reaches the worker.
 	beforeStart func(host.Start)
 	thawed      atomic.Pointer[chan struct{}] // Closed when polls of a frozen agent make progress again.
@@ -103,7 +104,20 @@
 	w := a.machine.Worker()
 	poll, start, stop := w.Poll, w.Start, w.Stop
 	w.Poll = func(ctx context.Context, r host.PollRequest) (host.WorkerState, error) {
-		state, err := carry(ctx, a.network, func(ctx context.Context) (host.WorkerState, error) { return poll(ctx, r) })
+		// As the platform's adapter does, it acknowledges ends on an open connection only.
+		if connected := a.polled.Load(); r.AckedEnd > 0 && connected != a.machine.Executor() {
+			r.AckedEnd, r.LeaseEnd, r.Wait = 0, 0, 0
+		}
+		reached := a.connect(r.AckedEnd > 0)
+		state, err := carry(ctx, a.network, func(ctx context.Context) (host.WorkerState, error) {
+			if err := reached(ctx); err != nil {
+				return host.WorkerState{}, err
+			}
+			connected := a.machine.Executor()
+			state, err := poll(ctx, r)
+			a.polled.Store(connected)
+			return state, err
+		})
 		if thawed := a.thawed.Load(); thawed != nil {
 			<-*thawed
 		}
@@ -113,16 +127,41 @@
 		if a.beforeStart != nil {
 			a.beforeStart(s)
 		}
-		_, err := carry(ctx, a.network, func(ctx context.Context) (struct{}, error) { return struct{}{}, start(ctx, s) })
+		reached := a.connect(false)
+		_, err := carry(ctx, a.network, func(ctx context.Context) (struct{}, error) {
+			if err := reached(ctx); err != nil {
+				return struct{}{}, err
+			}
+			return struct{}{}, start(ctx, s)
+		})
 		return err
 	}
 	w.Stop = func(ctx context.Context, s host.Stop) error {
-		_, err := carry(ctx, a.network, func(ctx context.Context) (struct{}, error) { return struct{}{}, stop(ctx, s) })
+		reached := a.connect(false)
+		_, err := carry(ctx, a.network, func(ctx context.Context) (struct{}, error) {
+			if err := reached(ctx); err != nil {
+				return struct{}{}, err
+			}
+			return struct{}{}, stop(ctx, s)
+		})
 		return err
 	}
 	return w
 }
 
+// connect returns a function that fails for a call to the worker that can't reach its current lifetime: a
+// connection ends with the lifetime that it was opened to, and a caller that has given up opens no other. Calls
+// on an open connection can't reach a later lifetime at all.
+func (a *agent) connect(open bool) func(ctx context.Context) error {
+	connected := a.machine.Executor()
+	return func(ctx context.Context) error {
+		if a.machine.Executor() != connected && (open || ctx.Err() != nil) {
+			return errLost
+		}
+		return nil
+	}
+}
+
 // runRecorder records the runs that the workers started.
 type runRecorder struct {
 	mu      sync.Mutex
@@ -403,6 +442,9 @@
 	return c.agents[slices.IndexFunc(c.agents, func(a *agent) bool { return agentAddress(a.name) == address })]
 }
 
+// maxLease is the longest lease that a worker takes.
+const maxLease = 10 * time.Second
+
 // options are the settings of the smaller of the users' sites.
 var options = dispatch.Options{
 	Lease: 9500 * time.Millisecond, StopTimeout: 200 * time.Millisecond, RemoteFactor: 3,
@@ -555,6 +597,7 @@
 func (c *cluster) newExecutor(name string, startedUnixMS int64) *standin.Executor {
 	e := &standin.Executor{
 		Lifetime:  host.Lifetime{ID: name, StartedUnixMS: startedUnixMS},
+		MaxLease:  maxLease,
 		Resources: workflow.Resources{MilliCores: 64000, MemoryMB: 64000, Accelerators: 8},
 		Requirements: func(task string) (workflow.Resources, time.Duration) {
 			t, err := clusterstate.ParseTaskID(task)
@@ -578,7 +621,7 @@
 // startAgentProcess starts the process of an agent.
 func (c *cluster) startAgentProcess(a *agent, rack string) {
 	a.process = &host.Agent{
-		Name: a.name, Worker: a.worker(), MaxLease: 10 * time.Second, Incarnation: fmt.Sprint(time.Now().UnixNano()),
+		Name: a.name, Worker: a.worker(), MaxLease: maxLease, Incarnation: fmt.Sprint(time.Now().UnixNano()),
 		Log: c.log.With().Str("at", a.name).Logger(),
 	}
 	for _, e := range c.entries {
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -69,6 +69,15 @@
 	return m.lifetime == lifetime || m.laterLifetime == lifetime
 }
 
+// doneIn reports whether an end of the member's run in a lifetime shows that its task is done. It does in any
+// lifetime with the same id, which a delayed start can reach, also if the one before isn't known to be over, as
+// the worker's time of day has jumped back.
+func (m *member) doneIn(lifetime string, end host.End) bool {
+	now, err1 := host.ParseLifetime(lifetime)
+	then, err2 := host.ParseLifetime(m.lifetime)
+	return end == host.Done && err1 == nil && err2 == nil && now.ID == then.ID
+}
+
 // stopInCurrentLifetime requests a stop in the worker's current lifetime if a start that was
 // sent to the lifetime before can reach it, and reports whether it can: a worker distinguishes
 // lifetimes by the id alone, and the id may be the same in both.
--- a/internal/dispatch/planner_test.go
+++ b/internal/dispatch/planner_test.go
@@ -375,6 +375,45 @@
 	})
 }
 
+// As above, but the run has ended as done by the first report from the new lifetime. That end counts, also if
+// the new lifetime seems to be older than the one before, as the worker's time of day has jumped back.
+func TestEndOfLateStartInRestartedWorkerCounts(t *testing.T) {
+	tests := []struct {
+		name     string
+		born     int64 // The first lifetime has 1.
+		takeover bool  // Another planner takes over before that report.
+	}{
+		{"the planner stays", 2, false},
+		{"another planner takes over", 2, true},
+		{"the worker's time of day has jumped back", 0, false},
+		{"its time of day has jumped back, and another planner takes over", 0, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			withVirtualTime(t, func(t *testing.T) {
+				c := newCluster(t, 2, 1)
+				checker := c.watchRuns()
+				a := c.agents[0]
+				a.beforeStart = func(host.Start) {
+					a.beforeStart = nil
+					a.machine.Executor().Crash()
+					next := c.newExecutor(a.name, tt.born)
+					checker.Watch(next)
+					a.machine.SetExecutor(next)
+				}
+				time.Sleep(3200 * time.Millisecond) // Some time before the worker's next heartbeat.
+				c.submit("a", "red", "batch", task(0.3, 1))
+				if tt.takeover {
+					time.Sleep(100 * time.Millisecond)
+					c.planner().stop()
+				}
+				c.await(25*time.Second, shop.Done, "a")
+				c.reportViolations(checker)
+			})
+		})
+	}
+}
+
 // A worker restarts after its time of day has jumped back, and its agent restarts, too. The agent doesn't
 // know the lifetime before, and the new one seems to be older.
 func TestTasksOfForgottenLifetimeRunAgain(t *testing.T) {
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -40,6 +40,11 @@
 	if w.unreachable {
 		w.resetProgressTimes()
 	}
+	for _, m := range w.members {
+		if !m.mayRunIn(w.lifetime) && w.lifetimeEnded(m.lifetime) {
+			m.stopInCurrentLifetime() // Before the report's ends are applied: they may have its run.
+		}
+	}
 	ap.applyRunning(w, m.GetRunning(), observed)
 	for _, e := range m.GetEnded() {
 		ap.applyEnd(w, e)
@@ -139,11 +144,11 @@
 	}
 	w.appliedEnds.number = e.GetNumber()
 	m, ok := ap.members[e.GetTask()]
-	if !ok || m.run != int(e.GetRun()) || m.worker != w || !m.mayRunIn(w.lifetime) {
+	end := host.End(e.GetEnd())
+	if !ok || m.run != int(e.GetRun()) || m.worker != w || !m.mayRunIn(w.lifetime) && !m.doneIn(w.lifetime, end) {
 		return // An earlier planner stored the end, or the run was known to have ended.
 	}
 	m.job.recordEnd(w, w.appliedEnds)
-	end := host.End(e.GetEnd())
 	ap.updateHealth(w, m, end)
 	ap.runEnded(m, end, e.GetCheckpoint(), "listed")
 }
--- a/internal/standin/executor.go
+++ b/internal/standin/executor.go
@@ -26,6 +26,8 @@
 	OnRunStarted func(task string, run int)
 	// OnRunEnded is called for each run that ends, with the time for which it actually ran.
 	OnRunEnded func(ExecutorSpan)
+	// MaxLease is the longest lease that it takes; a longer one is shortened. Zero means no limit.
+	MaxLease time.Duration
 	// MaxEnded is the number of ended runs that it lists at a time; zero means no limit.
 	MaxEnded int
 	// CutsSilently makes its answers look complete also if they leave out ended runs.
@@ -277,6 +279,14 @@
 	}
 }
 
+// extendLease extends the lease, at most by the longest one. The caller holds the lock.
+func (e *Executor) extendLease(end time.Duration) {
+	if e.MaxLease > 0 {
+		end = min(end, e.clock()+e.MaxLease)
+	}
+	e.leaseEnd = max(e.leaseEnd, end)
+}
+
 // acknowledge records that ended runs up to a number have been acknowledged. The caller holds the
 // lock.
 func (e *Executor) acknowledge(number uint64) {
@@ -297,7 +307,7 @@
 		return host.WorkerState{}, true, err
 	}
 	e.acknowledge(request.AckedEnd)
-	e.leaseEnd = max(e.leaseEnd, request.LeaseEnd)
+	e.extendLease(request.LeaseEnd)
 	e.ended = slices.DeleteFunc(e.ended, func(o host.Ended) bool { return o.Number <= request.AckedEnd })
 	if len(e.ended) == 0 && request.Wait > 0 {
 		return host.WorkerState{}, false, nil
@@ -339,7 +349,7 @@
 	case !e.Resources.Minus(used).Fits(resources):
 		return fmt.Errorf("standin.Executor: %w: no room", host.ErrRefused)
 	}
-	e.leaseEnd = max(e.leaseEnd, s.LeaseEnd)
+	e.extendLease(s.LeaseEnd)
 	e.running[s.Task] = &run{number: s.Run, resources: resources, started: clock.Now(), duration: duration}
 	if e.OnRunStarted != nil {
 		e.OnRunStarted(s.Task, s.Run)
