host, platform: probes of an announced lifetime use connections of their own

Ends are acknowledged on open connections only, as a new one may reach the next lifetime of a worker with the same id, whose ends have the same numbers. A probe of an announced lifetime left its connection open for the next poll, which could acknowledge the ends of the lifetime before on it.

TestEndsAreNotAckedOnConnectionOfProbe failed before.

--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -115,7 +115,9 @@
 			}
 			connected := a.machine.Executor()
 			state, err := poll(ctx, r)
-			a.polled.Store(connected)
+			if !r.Probe {
+				a.polled.Store(connected)
+			}
 			return state, err
 		})
 		if thawed := a.thawed.Load(); thawed != nil {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -150,7 +150,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	state, err := a.Worker.Poll(ctx, PollRequest{Lifetime: announced.String(), Epoch: epoch})
+	state, err := a.Worker.Poll(ctx, PollRequest{Lifetime: announced.String(), Epoch: epoch, Probe: true})
 	confirmed := err == nil && state.Lifetime == announced.String()
 	denied := errors.Is(err, ErrOtherLifetime) || err == nil && !confirmed
 	if denied || !confirmed && announced.StartedUnixMS < current.StartedUnixMS {
@@ -175,7 +175,7 @@
 	a.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	state, err := a.Worker.Poll(ctx, PollRequest{Lifetime: l.String(), Epoch: epoch})
+	state, err := a.Worker.Poll(ctx, PollRequest{Lifetime: l.String(), Epoch: epoch, Probe: true})
 	return err == nil && state.Lifetime == l.String()
 }
 
--- a/internal/host/worker.go
+++ b/internal/host/worker.go
@@ -42,6 +42,9 @@
 	LeaseEnd time.Duration
 	// Wait is how long the worker waits for a run to end before it answers.
 	Wait time.Duration
+	// Probe is set for a poll of a lifetime that may not be the current one. Later polls don't use its
+	// connection, so that what they acknowledge can't reach that lifetime.
+	Probe bool
 }
 
 // WorkerState is a worker's answer to a poll.
