host: the repeat of a start is checked like the first attempt

A start that isn't answered is repeated. Lifetime, epoch, age and lease were checked before the first attempt only, so that the repeat could reach a worker's next lifetime with a lease end on the clock of the one before, or be sent after a pause in which the permission had run out. Found by reading.

Each attempt is checked now; if a repeat may not be sent, the outcome stays unknown. TestStartIsNotRepeatedInNextLifetime failed before ("started, want unknown").

--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -512,3 +512,31 @@
 		}
 	})
 }
+
+// A worker restarts under its id while a start is on its way, and the start is not answered. The repeat would be
+// taken by the new lifetime, with a lease end on the clock of the one before.
+func TestStartIsNotRepeatedInNextLifetime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		f.renewFor(3 * time.Second)
+		f.executor.Silence(true)
+		outcome := make(chan *pb.OrderResult)
+		order := &pb.OrderRequest{Epoch: f.epoch, Lifetime: f.executor.Lifetime.String(), Starts: []*pb.StartTask{{Task: "j.0.0.0", Run: 1}}}
+		go func() {
+			resp, err := f.agent.Order(f.ctx, connect.NewRequest(order))
+			if err != nil {
+				t.Error(err)
+			}
+			outcome <- resp.Msg.GetResults()[0]
+		}()
+		time.Sleep(100 * time.Millisecond)
+		f.startExecutor(host.Lifetime{ID: "w", StartedUnixMS: 2})
+		f.heartbeat(f.executor.Heartbeat("s", "r1-1", 1))
+		if result := <-outcome; result.GetOutcome() != pb.Outcome_OUTCOME_UNKNOWN {
+			t.Errorf("start that the worker didn't answer before it restarted: %v, want unknown", result)
+		}
+		if got := f.executor.Running(); len(got) != 0 {
+			t.Errorf("the new lifetime runs %v, want nothing", got)
+		}
+	})
+}
--- a/internal/host/orders.go
+++ b/internal/host/orders.go
@@ -29,21 +29,24 @@
 // startTask carries out one start of an order.
 func (a *Agent) startTask(ctx context.Context, m *pb.OrderRequest, o *pb.StartTask) *pb.OrderResult {
 	result := &pb.OrderResult{Task: o.GetTask(), Run: o.GetRun()}
-	leaseEnd, reason := a.mayStart(m)
-	if reason != "" {
-		result.Outcome, result.Detail = pb.Outcome_OUTCOME_REFUSED, reason
-		return result
-	}
-	order := Start{
-		Lifetime: m.GetLifetime(), Epoch: m.GetEpoch(), Task: o.GetTask(), Run: int(o.GetRun()),
-		Payload: o.GetPayload(), Checkpoint: o.GetCheckpoint(), LeaseEnd: leaseEnd,
-	}
 	maybeStarted := false // Whether an earlier attempt had no definite answer.
 	for range maxStartAttempts {
-		err := a.startOnce(ctx, order)
+		// Also before a repeat: the lifetime, the planner or the lease may have ended meanwhile.
+		leaseEnd, reason := a.mayStart(m)
+		if reason != "" {
+			result.Detail = reason
+			if !maybeStarted {
+				result.Outcome = pb.Outcome_OUTCOME_REFUSED
+			}
+			return result
+		}
+		err := a.startOnce(ctx, Start{
+			Lifetime: m.GetLifetime(), Epoch: m.GetEpoch(), Task: o.GetTask(), Run: int(o.GetRun()),
+			Payload: o.GetPayload(), Checkpoint: o.GetCheckpoint(), LeaseEnd: leaseEnd,
+		})
 		switch {
 		case err == nil:
-			a.recordStart(order.Task, order.Run)
+			a.recordStart(o.GetTask(), int(o.GetRun()))
 			result.Outcome = pb.Outcome_OUTCOME_STARTED
 			return result
 		case errors.Is(err, ErrRefused), errors.Is(err, ErrOtherLifetime), errors.Is(err, ErrUnhealthy), errors.Is(err, ErrFenced):
