dispatch: random faults on an unreliable network

TestJobsSurviveFaultsOnUnreliableNetwork plays the faults of TestJobsSurviveFaults while messages are lost, delayed and overtake each other and workers list two ended runs at a time.

--- a/internal/dispatch/chaos_test.go
+++ b/internal/dispatch/chaos_test.go
@@ -12,8 +12,11 @@
 	"sniperill.example/sniperill/pkg/shop"
 )
 
-// chaosSeeds is the number of seeds that TestJobsSurviveFaults runs.
-var chaosSeeds = flag.Int("chaos.seeds", 40, "seeds of random faults to run")
+// Seeds that TestJobsSurviveFaults and TestJobsSurviveFaultsOnUnreliableNetwork run.
+var (
+	chaosSeeds = flag.Uint64("chaos.seeds", 40, "seeds of random faults to run")
+	chaosFirst = flag.Uint64("chaos.first", 0, "the first of these seeds")
+)
 
 // chaos is a cluster with random faults.
 type chaos struct {
@@ -97,26 +100,44 @@
 // Whatever fails, every accepted job runs to completion, no task runs twice at the same time,
 // and no task starts again after its end was acknowledged.
 func TestJobsSurviveFaults(t *testing.T) {
-	for seed := range uint64(*chaosSeeds) {
+	for seed := *chaosFirst; seed < *chaosFirst+*chaosSeeds; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			withVirtualTime(t, func(t *testing.T) {
+				runChaos(seed, newCluster(t, 3, 4), nil)
+			})
+		})
+	}
+}
+
+// As above, while messages are lost, delayed and overtake each other, and workers list two ended runs at a time
+// without saying that there are more.
+func TestJobsSurviveFaultsOnUnreliableNetwork(t *testing.T) {
+	for seed := *chaosFirst; seed < *chaosFirst+*chaosSeeds; seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			withVirtualTime(t, func(t *testing.T) {
-				c := &chaos{cluster: newCluster(t, 3, 4), random: rand.New(rand.NewPCG(seed, 0))}
-				for _, a := range c.agents {
-					c.checker.Watch(a.machine.Executor())
-				}
-				time.Sleep(3 * time.Second)
-				for i := range 14 {
-					c.submitWithRetry(fmt.Sprint("job", i))
-					time.Sleep(time.Duration(c.random.IntN(1200)) * time.Millisecond)
-					c.injectFault()
-				}
-				c.store.SetFault(standin.StoreHealthy)
-				time.Sleep(8 * time.Second) // All faults have ended by then.
-				c.await(80*time.Second, shop.Done, c.jobs...)
-				for _, err := range c.checker.Violations() {
-					t.Error(err)
-				}
+				c := newClusterWith(t, 3, 4, func(*standin.Store) {}, func(e *standin.Executor) { e.MaxEnded, e.CutsSilently = 2, true })
+				runChaos(seed, c, rand.New(rand.NewPCG(seed, 1)))
 			})
 		})
 	}
 }
+
+// runChaos plays the jobs and faults of a seed, with the given source of the network's delays and losses, if any.
+func runChaos(seed uint64, cluster *cluster, network *rand.Rand) {
+	c := &chaos{cluster: cluster, random: rand.New(rand.NewPCG(seed, 0))}
+	for _, a := range c.agents {
+		c.checker.Watch(a.machine.Executor())
+	}
+	time.Sleep(3 * time.Second)
+	c.network.setRandom(network)
+	for i := range 14 {
+		c.submitWithRetry(fmt.Sprint("job", i))
+		time.Sleep(time.Duration(c.random.IntN(1200)) * time.Millisecond)
+		c.injectFault()
+	}
+	c.network.setRandom(nil)
+	c.store.SetFault(standin.StoreHealthy)
+	time.Sleep(8 * time.Second) // All faults have ended by then.
+	c.await(80*time.Second, shop.Done, c.jobs...)
+	c.reportViolations(&c.checker)
+}
