--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -99,8 +99,8 @@
 	close(thawed)
 }
 
-// worker returns the worker's calls with beforeStart applied.
-func (a *agent) worker() host.Worker {
+// worker returns the worker's calls with beforeStart applied, for an agent process that runs until running ends.
+func (a *agent) worker(running context.Context) host.Worker {
 	w := a.machine.Worker()
 	poll, start, stop := w.Poll, w.Start, w.Stop
 	w.Poll = func(ctx context.Context, r host.PollRequest) (host.WorkerState, error) {
@@ -108,7 +108,7 @@
 		if connected := a.polled.Load(); r.AckedEnd > 0 && connected != a.machine.Executor() {
 			r.AckedEnd, r.LeaseEnd, r.Wait = 0, 0, 0
 		}
-		reached := a.connect(r.AckedEnd > 0)
+		reached := a.connect(running, r.AckedEnd > 0)
 		state, err := carry(ctx, a.network, func(ctx context.Context) (host.WorkerState, error) {
 			if err := reached(ctx); err != nil {
 				return host.WorkerState{}, err
@@ -129,7 +129,7 @@
 		if a.beforeStart != nil {
 			a.beforeStart(s)
 		}
-		reached := a.connect(false)
+		reached := a.connect(running, false)
 		_, err := carry(ctx, a.network, func(ctx context.Context) (struct{}, error) {
 			if err := reached(ctx); err != nil {
 				return struct{}{}, err
@@ -139,7 +139,7 @@
 		return err
 	}
 	w.Stop = func(ctx context.Context, s host.Stop) error {
-		reached := a.connect(false)
+		reached := a.connect(running, false)
 		_, err := carry(ctx, a.network, func(ctx context.Context) (struct{}, error) {
 			if err := reached(ctx); err != nil {
 				return struct{}{}, err
@@ -153,11 +153,12 @@
 
 // connect returns a function that fails for a call to the worker that can't reach its current lifetime: a
 // connection ends with the lifetime that it was opened to, and a caller that has given up opens no other. Calls
-// on an open connection can't reach a later lifetime at all.
-func (a *agent) connect(open bool) func(ctx context.Context) error {
+// on an open connection can't reach a later lifetime at all. A process that was killed calls nobody.
+func (a *agent) connect(running context.Context, open bool) func(ctx context.Context) error {
 	connected := a.machine.Executor()
+	killed := running.Err() != nil
 	return func(ctx context.Context) error {
-		if a.machine.Executor() != connected && (open || ctx.Err() != nil) {
+		if killed || a.machine.Executor() != connected && (open || ctx.Err() != nil) {
 			return errLost
 		}
 		return nil
@@ -432,7 +433,7 @@
 
 // listed reports whether the worker lists a run, or may list it, as it gives no answer.
 func (c versionedClient) listed(ctx context.Context, r *pb.OrderRequest, o *pb.OrderResult) bool {
-	state, err := c.cluster.agentAt(c.address).worker().Poll(ctx, host.PollRequest{Lifetime: r.GetLifetime(), Epoch: r.GetEpoch()})
+	state, err := c.cluster.agentAt(c.address).worker(c.cluster.ctx).Poll(ctx, host.PollRequest{Lifetime: r.GetLifetime(), Epoch: r.GetEpoch()})
 	task, run := o.GetTask(), int(o.GetRun())
 	return err != nil ||
 		slices.ContainsFunc(state.Running, func(o host.Running) bool { return o.Task == task && o.Run == run }) ||
@@ -622,14 +623,14 @@
 
 // startAgentProcess starts the process of an agent.
 func (c *cluster) startAgentProcess(a *agent, rack string) {
+	running, kill := context.WithCancel(c.ctx)
 	a.process = &host.Agent{
-		Name: a.name, Worker: a.worker(), MaxLease: maxLease, Incarnation: fmt.Sprint(time.Now().UnixNano()),
+		Name: a.name, Worker: a.worker(running), MaxLease: maxLease, Incarnation: fmt.Sprint(time.Now().UnixNano()),
 		Log: c.log.With().Str("at", a.name).Logger(),
 	}
 	for _, e := range c.entries {
 		e.agents.set(agentAddress(a.name), a.process)
 	}
-	running, kill := context.WithCancel(c.ctx)
 	a.kill = kill
 	agent := a.process
 	go agent.Run(running)
