--- a/internal/dispatch/chaos_test.go
+++ b/internal/dispatch/chaos_test.go
@@ -70,16 +70,6 @@
 	}
 }
 
-// restartEntry kills an entry and starts it again.
-func (c *chaos) restartEntry(e *entry) {
-	e.kill()
-	i := slices.Index(c.entries, e)
-	next := c.startEntry(e.name)
-	c.mu.Lock()
-	c.entries[i] = next
-	c.mu.Unlock()
-}
-
 // submitWithRetry submits a job until an entry accepts it. As with a real caller, each retry
 // submits the same job.
 func (c *chaos) submitWithRetry(id string) {
--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -733,6 +733,25 @@
 	return nil
 }
 
+// restartEntry kills an entry and starts it again.
+func (c *cluster) restartEntry(e *entry) {
+	e.kill()
+	i := slices.Index(c.entries, e)
+	next := c.startEntry(e.name)
+	c.mu.Lock()
+	c.entries[i] = next
+	c.mu.Unlock()
+}
+
+// killPlanner kills the entry that is the active planner. It doesn't start again.
+func (c *cluster) killPlanner() {
+	e := c.planner()
+	e.kill()
+	c.mu.Lock()
+	c.entries = slices.DeleteFunc(c.entries, func(o *entry) bool { return o == e })
+	c.mu.Unlock()
+}
+
 // plannerRecords counts the records of planners that stepped up or resigned.
 func (c *cluster) plannerRecords() int {
 	n := 0
--- a/internal/dispatch/ends_test.go
+++ b/internal/dispatch/ends_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"testing"
 	"time"
 
@@ -38,11 +37,7 @@
 					time.Sleep(3 * time.Second)
 					c.submit("a", "red", "batch", small(5, tt.tasks))
 					time.Sleep(5*time.Second - before)
-					killed := c.planner()
-					killed.kill()
-					c.mu.Lock()
-					c.entries = slices.DeleteFunc(c.entries, func(e *entry) bool { return e == killed })
-					c.mu.Unlock()
+					c.killPlanner()
 					c.await(10*time.Second, shop.Done, "a")
 					for i := range tt.tasks {
 						c.checkStartedOnce(fmt.Sprint("a.0.0.", i))
@@ -69,15 +64,11 @@
 				for i := range 40 {
 					c.submit(fmt.Sprint("busy", i), "blue", "batch", many(task(0.2+float64(i)*0.13, 0), 3))
 				}
-				planner := c.planner()
-				_, end := planner.agents.hold(agentAddress(c.agents[0].name))
+				_, end := c.planner().agents.hold(agentAddress(c.agents[0].name))
 				c.submit("a", "red", "batch", task(2, 1))
 				time.Sleep(100 * time.Millisecond) // The run is claimed.
-				planner.kill()
+				c.killPlanner()
 				end()
-				c.mu.Lock()
-				c.entries = slices.DeleteFunc(c.entries, func(e *entry) bool { return e == planner })
-				c.mu.Unlock()
 				c.await(15*time.Second, shop.Done, "a")
 				c.reportViolations(checker)
 			})
--- a/internal/dispatch/large_test.go
+++ b/internal/dispatch/large_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -122,11 +121,7 @@
 				c.submit("other", "blue", "batch", task(0.5, 1), after(task(0.5, 1), 0))
 				c.await(3*time.Second, shop.Done, "other")
 				time.Sleep(wait)
-				killed := c.planner()
-				killed.kill()
-				c.mu.Lock()
-				c.entries = slices.DeleteFunc(c.entries, func(e *entry) bool { return e == killed })
-				c.mu.Unlock()
+				c.killPlanner()
 				c.store.Reject("")
 				c.await(15*time.Second, shop.Done, "a")
 				c.reportViolations(checker)
--- a/internal/dispatch/network_test.go
+++ b/internal/dispatch/network_test.go
@@ -6,7 +6,6 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -129,7 +128,7 @@
 					time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
 					switch random.IntN(4) {
 					case 0:
-						c.restartPlanner()
+						c.restartEntry(c.planner())
 					case 1: // It plans on without knowing that it was replaced.
 						link := &c.planner().storeLink
 						link.setDisconnected(true)
@@ -148,17 +147,6 @@
 	}
 }
 
-// restartPlanner kills the entry that plans and starts it again.
-func (c *cluster) restartPlanner() {
-	e := c.planner()
-	e.kill()
-	i := slices.Index(c.entries, e)
-	next := c.startEntry(e.name)
-	c.mu.Lock()
-	c.entries[i] = next
-	c.mu.Unlock()
-}
-
 // Guards the check above: it must see calls that are lost, and calls that arrive after their caller gave up.
 func TestNetworkLosesAndDelays(t *testing.T) {
 	withVirtualTime(t, func(t *testing.T) {
