dispatch: tests restart a worker at its next start in one place

Two tests wrote out the crash and restart of a worker while a start is on its way, and the wrapped start and stop calls of the tests' workers were twins. No assertion changes; internal/dispatch passed.

--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -129,28 +129,26 @@
 		if a.beforeStart != nil {
 			a.beforeStart(s)
 		}
-		reached := a.connect(running, false)
-		_, err := carry(ctx, a.network, func(ctx context.Context) (struct{}, error) {
-			if err := reached(ctx); err != nil {
-				return struct{}{}, err
-			}
-			return struct{}{}, start(ctx, s)
-		})
-		return err
+		return a.call(ctx, running, func(ctx context.Context) error { return start(ctx, s) })
 	}
 	w.Stop = func(ctx context.Context, s host.Stop) error {
-		reached := a.connect(running, false)
-		_, err := carry(ctx, a.network, func(ctx context.Context) (struct{}, error) {
-			if err := reached(ctx); err != nil {
-				return struct{}{}, err
-			}
-			return struct{}{}, stop(ctx, s)
-		})
-		return err
+		return a.call(ctx, running, func(ctx context.Context) error { return stop(ctx, s) })
 	}
 	return w
 }
 
+// call makes a call to the worker that has no result.
+func (a *agent) call(ctx, running context.Context, f func(context.Context) error) error {
+	reached := a.connect(running, false)
+	_, err := carry(ctx, a.network, func(ctx context.Context) (struct{}, error) {
+		if err := reached(ctx); err != nil {
+			return struct{}{}, err
+		}
+		return struct{}{}, f(ctx)
+	})
+	return err
+}
+
 // connect returns a function that fails for a call to the worker that can't reach its current lifetime: a
 // connection ends with the lifetime that it was opened to, and a caller that has given up opens no other. Calls
 // on an open connection can't reach a later lifetime at all. A process that was killed calls nobody.
@@ -704,6 +702,17 @@
 	}
 }
 
+// restartAtNextStart makes a worker crash and restart with the same id while the next start is on its way to it.
+func (c *cluster) restartAtNextStart(a *agent, startedUnixMS int64, checker *standin.RunChecker) {
+	a.beforeStart = func(host.Start) {
+		a.beforeStart = nil
+		a.machine.Executor().Crash()
+		next := c.newExecutor(a.name, startedUnixMS)
+		checker.Watch(next)
+		a.machine.SetExecutor(next)
+	}
+}
+
 // watchRuns returns a checker that watches the workers of all agents.
 func (c *cluster) watchRuns() *standin.RunChecker {
 	checker := &standin.RunChecker{}
--- a/internal/dispatch/planner_test.go
+++ b/internal/dispatch/planner_test.go
@@ -7,7 +7,6 @@
 	"testing"
 	"time"
 
-	"sniperill.example/sniperill/internal/host"
 	"sniperill.example/sniperill/internal/standin"
 	"sniperill.example/sniperill/pkg/shop"
 	"sniperill.example/sniperill/pkg/workflow"
@@ -360,14 +359,7 @@
 	withVirtualTime(t, func(t *testing.T) {
 		c := newCluster(t, 2, 3)
 		checker := c.watchRuns()
-		a := c.agents[0]
-		a.beforeStart = func(host.Start) {
-			a.beforeStart = nil
-			a.machine.Executor().Crash()
-			next := c.newExecutor(a.name, 2)
-			checker.Watch(next)
-			a.machine.SetExecutor(next)
-		}
+		c.restartAtNextStart(c.agents[0], 2, checker)
 		time.Sleep(3 * time.Second)
 		c.submit("a", "red", "batch", many(task(3, 8), 2))
 		c.await(25*time.Second, shop.Done, "a")
@@ -393,14 +385,7 @@
 			withVirtualTime(t, func(t *testing.T) {
 				c := newCluster(t, 2, 1)
 				checker := c.watchRuns()
-				a := c.agents[0]
-				a.beforeStart = func(host.Start) {
-					a.beforeStart = nil
-					a.machine.Executor().Crash()
-					next := c.newExecutor(a.name, tt.born)
-					checker.Watch(next)
-					a.machine.SetExecutor(next)
-				}
+				c.restartAtNextStart(c.agents[0], tt.born, checker)
 				time.Sleep(3200 * time.Millisecond) // Some time before the worker's next heartbeat.
 				c.submit("a", "red", "batch", task(0.3, 1))
 				if tt.takeover {
