host, dispatch: logs and a metric that tell why a run was taken as over

Now an agent logs whether a refused start was sent, its incarnation, why a lifetime is over, and what the worker said when it was asked for an announced one; the planner logs which agent reported another lifetime, and counts runs that it finds without a claim.

--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -20,7 +20,8 @@
 	w.unreachable = m.GetUnreachable()
 	h := m.GetWorker()
 	if l := h.GetLifetime(); l != w.lifetime {
-		ap.Log.Info().Str("node", w.name).Str("lifetime", l).Str("before", w.lifetime).Msg("A worker has another lifetime.")
+		ap.Log.Info().Str("node", w.name).Str("lifetime", l).Str("before", w.lifetime).Str("life", w.agentIncarnation).Str("address", w.address).
+			Msg("A worker has another lifetime.")
 		w.lifetime, w.lifetimeSince = l, now
 		w.appliedEnds, w.storedEnds = endPosition{lifetime: l}, endPosition{lifetime: l}
 		w.ackingEnd, w.ackingFor, w.ackedEnd, w.unprovenAbsences = 0, 0, 0, nil
@@ -133,6 +134,7 @@
 // stopUnclaimed stops a run that is not or no longer claimed.
 func (ap *activePlanner) stopUnclaimed(w *worker, t *pb.RunningTask) {
 	ap.Log.Warn().Str("task", t.GetTask()).Int64("run", t.GetRun()).Str("node", w.name).Msg("Stopping a run that is not claimed.")
+	unclaimedRuns.Inc()
 	w.unclaimedRuns = append(w.unclaimedRuns, &pb.StopTask{Task: t.GetTask(), Run: t.GetRun()})
 	w.wakeOrders()
 }
--- a/internal/host/handler.go
+++ b/internal/host/handler.go
@@ -67,6 +67,11 @@
 		return
 	}
 	a.lastStoredEnd = number
+	for _, e := range a.ended {
+		if e.Number <= number { // Until the next poll, running may list it.
+			a.running = slices.DeleteFunc(a.running, func(r Running) bool { return r.Task == e.Task && r.Run == e.Run })
+		}
+	}
 	a.ended = slices.DeleteFunc(a.ended, func(e Ended) bool { return e.Number <= a.lastStoredEnd })
 	a.notifyChange()
 }
@@ -157,7 +162,8 @@
 	for _, r := range results {
 		metrics.GetOrCreateCounter(`sniperill_agent_orders_total{outcome="` + outcomeLabel(r.GetOutcome()) + `"}`).Inc()
 		a.Log.Info().Str("task", r.GetTask()).Int64("run", r.GetRun()).Int64("epoch", m.GetEpoch()).Uint64("report", m.GetReport()).
-			Str("lifetime", m.GetLifetime()).Stringer("outcome", r.GetOutcome()).Str("detail", r.GetDetail()).
+			Str("lifetime", m.GetLifetime()).Str("life", a.Incarnation).Stringer("outcome", r.GetOutcome()).Str("detail", r.GetDetail()).
+			Bool("unsent", r.GetUnsent()).
 			Msg("Ran an order.")
 	}
 	return connect.NewResponse(&pb.OrderResponse{Results: results}), nil
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -98,7 +98,8 @@
 // lifetime whose lease has lapsed is ignored until the worker answers: its runs are over then, but the
 // worker may go on.
 func (a *Agent) Heartbeat(ctx context.Context, hb Heartbeat) error {
-	if err := a.confirmLifetime(ctx, hb.Lifetime); err != nil {
+	check, err := a.confirmLifetime(ctx, hb.Lifetime)
+	if err != nil {
 		return err
 	}
 	if a.lapsed(hb.Lifetime) && !a.answersIn(ctx, hb.Lifetime) {
@@ -112,7 +113,8 @@
 	}
 	if !same {
 		a.Log.Info().Stringer("lifetime", hb.Lifetime).Str("service", hb.Service).Str("rack", hb.Rack).
-			Int("accelerators", hb.Resources.Accelerators).Msg("The worker has announced a new lifetime.")
+			Int("accelerators", hb.Resources.Accelerators).Stringer("before", a.lifetime).Str("check", check).
+			Msg("The worker has announced a new lifetime.")
 		a.setLifetime(hb.Lifetime)
 		a.leaving = false
 	} else if a.lifetime.ID == "" {
@@ -141,12 +143,13 @@
 // current one: the planner takes the runs of a lifetime that was replaced as ended. If the worker
 // doesn't answer, the later lifetime counts. A worker whose time of day has jumped back may announce
 // one that is earlier than the one before.
-func (a *Agent) confirmLifetime(ctx context.Context, announced Lifetime) error {
+// It returns what the check showed, for the log.
+func (a *Agent) confirmLifetime(ctx context.Context, announced Lifetime) (check string, err error) {
 	a.mu.Lock()
 	current, epoch := a.lifetime, a.epoch
 	a.mu.Unlock()
 	if current.ID == "" || announced == current {
-		return nil
+		return "not needed", nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
@@ -156,9 +159,12 @@
 	if denied || !confirmed && announced.StartedUnixMS < current.StartedUnixMS {
 		a.Log.Warn().Err(err).Stringer("announced", announced).Stringer("lifetime", current).
 			Msg("Ignored a heartbeat for a lifetime that the worker is not in.")
-		return fmt.Errorf("host.Heartbeat: lifetime %v: %w", announced, ErrOtherWorker)
+		return "", fmt.Errorf("host.Heartbeat: lifetime %v: %w", announced, ErrOtherWorker)
 	}
-	return nil
+	if err != nil {
+		return err.Error(), nil
+	}
+	return "confirmed", nil
 }
 
 // lapsed reports whether a lifetime is the last one that was announced, and was taken as over since.
@@ -205,7 +211,7 @@
 		return
 	}
 	if a.lifetime.ID != "" {
-		a.endLifetime(a.lifetime)
+		a.endLifetime(a.lifetime, "the worker is in another one")
 	}
 	a.endedLifetimes = slices.DeleteFunc(a.endedLifetimes, func(o string) bool { return o == l.String() })
 	a.lifetime = l
@@ -223,12 +229,12 @@
 }
 
 // endLifetime records that a lifetime is over, or at least all that ran in it. The caller holds the lock.
-func (a *Agent) endLifetime(l Lifetime) {
+func (a *Agent) endLifetime(l Lifetime, why string) {
 	a.endedLifetimes = append(a.endedLifetimes, l.String())
 	if len(a.endedLifetimes) > maxEndedLifetimes {
 		a.endedLifetimes = a.endedLifetimes[1:]
 	}
-	a.Log.Warn().Stringer("lifetime", l).Msg("The worker's lifetime is over.")
+	a.Log.Warn().Stringer("lifetime", l).Str("why", why).Msg("The worker's lifetime is over.")
 }
 
 // notifyChange wakes the goroutines that wait for a change. The caller holds the lock.
@@ -446,7 +452,11 @@
 	}
 	answered := errors.Is(err, ErrUnhealthy)
 	if !answered && (a.leaving || a.lease.lapsed(now)) && a.lifetime.ID != "" {
-		a.endLifetime(a.lifetime)
+		why := "its lease has lapsed"
+		if a.leaving {
+			why = "it has left"
+		}
+		a.endLifetime(a.lifetime, why)
 		a.lifetime = Lifetime{}
 		a.resetState()
 		a.notifyChange()
--- a/internal/host/orders.go
+++ b/internal/host/orders.go
@@ -36,7 +36,7 @@
 		if reason != "" {
 			result.Detail = reason
 			if !maybeStarted {
-				result.Outcome = pb.Outcome_OUTCOME_REFUSED
+				result.Outcome, result.Unsent = pb.Outcome_OUTCOME_REFUSED, true
 			}
 			return result
 		}
