--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -79,6 +79,8 @@
 	polled     atomic.Pointer[standin.Executor] // The one to which the connection for polls is open.
 	// beforeStart, if set, is called with each start before it reaches the worker.
 	beforeStart func(host.Start)
+	// answerStart, if set, returns what the process gets as the answer to a start, given the worker's.
+	answerStart func(error) error
 	thawed      atomic.Pointer[chan struct{}] // Closed when polls of a frozen agent make progress again.
 }
 
@@ -129,7 +131,11 @@
 		if a.beforeStart != nil {
 			a.beforeStart(s)
 		}
-		return a.call(ctx, running, func(ctx context.Context) error { return start(ctx, s) })
+		err := a.call(ctx, running, func(ctx context.Context) error { return start(ctx, s) })
+		if a.answerStart != nil {
+			err = a.answerStart(err)
+		}
+		return err
 	}
 	w.Stop = func(ctx context.Context, s host.Stop) error {
 		return a.call(ctx, running, func(ctx context.Context) error { return stop(ctx, s) })
