host, dispatch: a start that the worker refused is barred before its task starts again

Cause: a refusal by the worker counted as proof that its run isn't there. The planner started the next run at once, and nothing barred the first: not a stop, as for a start without an answer, but an answer by whoever gave it decided. Any refusal does: an answer to a repeat below the agent, one by something between, or by a worker that had started the run.

Now an agent that gets a refusal stops the run at the worker and looks; only then is the run over ("absent"). If that can't be done, the planner goes on stopping the run as it does when a start wasn't answered. Starts that the agent refused itself, without sending them, are over at once (unsent). Calls that a worker refuses as unhealthy are repeated within the stop's time limit, as tasks wait for them now.

Evidence: TestRefusedStartThatTookEffectRunsOnce failed in all of its cases before (15 tasks ran twice), also with a worker that refuses stops for 3 s, and passes now. That a refused start took effect on the users' machines is not shown; their record has no line that tells.

--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -81,7 +81,9 @@
 	beforeStart func(host.Start)
 	// answerStart, if set, returns what the process gets as the answer to a start, given the worker's.
 	answerStart func(error) error
-	thawed      atomic.Pointer[chan struct{}] // Closed when polls of a frozen agent make progress again.
+	// refuseStop, if set, returns an error for a stop that doesn't reach the worker.
+	refuseStop func() error
+	thawed     atomic.Pointer[chan struct{}] // Closed when polls of a frozen agent make progress again.
 }
 
 // freeze stops an agent's process for d. When it goes on, it answers the planner before it has polled
@@ -138,6 +140,11 @@
 		return err
 	}
 	w.Stop = func(ctx context.Context, s host.Stop) error {
+		if a.refuseStop != nil {
+			if err := a.refuseStop(); err != nil {
+				return err
+			}
+		}
 		return a.call(ctx, running, func(ctx context.Context) error { return stop(ctx, s) })
 	}
 	return w
--- a/internal/dispatch/refused_test.go
+++ b/internal/dispatch/refused_test.go
@@ -11,8 +11,18 @@
 
 // A worker answers that it refuses a start, but the run is there. The task must not run twice at once.
 func TestRefusedStartThatTookEffectRunsOnce(t *testing.T) {
-	for _, answer := range []error{host.ErrUnhealthy, host.ErrRefused, host.ErrOtherLifetime} {
-		t.Run(fmt.Sprint(answer), func(t *testing.T) {
+	tests := []struct {
+		answer error
+		// refuses is for how long the worker refuses all stops, too.
+		refuses time.Duration
+	}{
+		{answer: host.ErrUnhealthy},
+		{answer: host.ErrRefused},
+		{answer: host.ErrOtherLifetime},
+		{host.ErrUnhealthy, 3 * time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(fmt.Sprintf("%v, stops refused for %v", tt.answer, tt.refuses), func(t *testing.T) {
 			withVirtualTime(t, func(t *testing.T) {
 				c := newCluster(t, 2, 3)
 				checker := c.watchRuns()
@@ -22,7 +32,14 @@
 					if err != nil {
 						return err
 					}
-					return answer
+					return tt.answer
+				}
+				began := time.Now()
+				a.refuseStop = func() error {
+					if time.Since(began) < tt.refuses {
+						return host.ErrUnhealthy
+					}
+					return nil
 				}
 				var jobs []string
 				for i := range 6 {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -313,13 +313,25 @@
 			}
 		case pb.Outcome_OUTCOME_REFUSED:
 			m.worker.pausedUntil = clock.Now().Add(refusedPause)
-			ap.runEnded(m, 0, "", "refused: "+result.GetDetail())
+			if result.GetUnsent() {
+				ap.runEnded(m, 0, "", "refused: "+result.GetDetail())
+				continue
+			}
+			// The refusal alone doesn't prove that the worker doesn't run it.
+			ap.Log.Info().Str("task", m.task).Int("run", m.run).Str("node", m.worker.name).Str("detail", result.GetDetail()).
+				Msg("A start was refused; stopping the run before the next one.")
+			ap.requestUnitStop(m.job, m.key)
 		case pb.Outcome_OUTCOME_ABSENT:
 			if !result.GetEndsSeen() {
 				m.worker.unprovenAbsences = append(m.worker.unprovenAbsences, absence{m, clock.Now()})
 				continue
 			}
-			ap.runEnded(m, 0, "", "it never ran")
+			why := "it never ran"
+			if m.status == starting { // Refused by the worker, and the agent has stopped the run.
+				m.worker.pausedUntil = clock.Now().Add(refusedPause)
+				why = "refused: " + result.GetDetail()
+			}
+			ap.runEnded(m, 0, "", why)
 		case pb.Outcome_OUTCOME_UNKNOWN:
 			if m.status == starting {
 				ap.requestUnitStop(m.job, m.key)
--- a/internal/host/orders.go
+++ b/internal/host/orders.go
@@ -50,11 +50,10 @@
 			result.Outcome = pb.Outcome_OUTCOME_STARTED
 			return result
 		case errors.Is(err, ErrRefused), errors.Is(err, ErrOtherLifetime), errors.Is(err, ErrUnhealthy), errors.Is(err, ErrFenced):
-			result.Detail = err.Error()
 			if !maybeStarted {
-				result.Outcome = pb.Outcome_OUTCOME_REFUSED
-				return result
+				return a.barRefused(ctx, m, o, err)
 			}
+			result.Detail = err.Error()
 		default:
 			maybeStarted = true
 			result.Detail = err.Error()
@@ -63,6 +62,32 @@
 	return result
 }
 
+// barRefused stops a run whose start the worker has refused, and returns the start's result: the run is absent if
+// the worker has accepted the stop and doesn't list the run after it. The answer to the start doesn't prove as
+// much: whoever gave it may not know of an earlier attempt, or may stand between.
+func (a *Agent) barRefused(ctx context.Context, m *pb.OrderRequest, o *pb.StartTask, refusal error) *pb.OrderResult {
+	result := a.stopTasks(ctx, m.GetLifetime(), m.GetEpoch(), []*pb.StopTask{{Task: o.GetTask(), Run: o.GetRun()}})[0]
+	result.Detail = refusal.Error()
+	if result.GetOutcome() != pb.Outcome_OUTCOME_ABSENT {
+		result.Outcome = pb.Outcome_OUTCOME_REFUSED
+	}
+	return result
+}
+
+// unhealthyRetryDelay is the delay before a call that the worker refused as unhealthy is made again; it doubles
+// with each.
+const unhealthyRetryDelay = 20 * time.Millisecond
+
+// retryUnhealthy makes a call until the worker doesn't refuse it as unhealthy, or ctx ends.
+func retryUnhealthy(ctx context.Context, call func() error) error {
+	for delay := unhealthyRetryDelay; ; delay *= 2 {
+		err := call()
+		if !errors.Is(err, ErrUnhealthy) || clock.Pause(ctx, delay) != nil {
+			return err
+		}
+	}
+}
+
 // startOnce makes one start call to the worker.
 func (a *Agent) startOnce(ctx context.Context, order Start) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
@@ -117,7 +142,9 @@
 		group.Go(func() error {
 			ctx, cancel := context.WithTimeout(ctx, stopTimeout)
 			defer cancel()
-			err := a.Worker.Stop(ctx, Stop{Lifetime: lifetime, Epoch: epoch, Task: o.GetTask(), Run: int(o.GetRun())})
+			err := retryUnhealthy(ctx, func() error {
+				return a.Worker.Stop(ctx, Stop{Lifetime: lifetime, Epoch: epoch, Task: o.GetTask(), Run: int(o.GetRun())})
+			})
 			switch {
 			case err == nil:
 				results[i].Outcome = pb.Outcome_OUTCOME_STOPPING
@@ -130,7 +157,13 @@
 	_ = group.Wait() // The functions report errors in their results.
 
 	acked := a.recordStops(lifetime, results)
-	state, err := a.poll(ctx, PollRequest{Lifetime: lifetime, Epoch: epoch, AckedEnd: acked})
+	var state WorkerState
+	retryCtx, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	err := retryUnhealthy(retryCtx, func() (err error) {
+		state, err = a.poll(ctx, PollRequest{Lifetime: lifetime, Epoch: epoch, AckedEnd: acked})
+		return err
+	})
 	if err != nil {
 		for _, r := range results {
 			r.Outcome, r.Detail = pb.Outcome_OUTCOME_UNKNOWN, "look after the stop: "+err.Error()
