dispatch, host: an agent refuses calls that are meant for another one

If another machine has got that address, or two have the same one, it took the reports of the other machine's worker for those of its own: a lifetime with another id and a later start ends all runs of the worker at once, while they go on under their lease. The tasks ran twice.

TestCallForAnotherAgentChangesNothing failed in that such calls succeeded and set the epoch.

Now calls carry the name of the agent that they are meant for. Another one fails them with failed_precondition before it looks at the epoch, and the planner treats it as an agent that it can't reach: runs go on until their lease has lapsed for certain. Calls without a name, from planners of earlier versions, are let through, and agents of earlier versions don't look at the name.

--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -203,7 +203,7 @@
 		Epoch: ap.epoch, AgentLife: w.agentIncarnation, Report: w.reportNumber,
 		Grant:    durationpb.New(ap.grant(w.receivedAt)),
 		Lifetime: w.storedEnds.lifetime, StoredEnd: w.storedEnds.number,
-		SeenVersion: w.reportVersion, Wait: durationpb.New(watchWait),
+		SeenVersion: w.reportVersion, Wait: durationpb.New(watchWait), Agent: w.name,
 	}
 }
 
@@ -250,6 +250,7 @@
 	req := &pb.OrderRequest{
 		Epoch: ap.epoch, Lifetime: w.lifetime,
 		AgentLife: w.agentIncarnation, Report: w.reportNumber, Grant: durationpb.New(ap.grant(w.receivedAt)),
+		Agent: w.name,
 	}
 	if w.storedEnds.lifetime == w.lifetime {
 		req.StoredEnd = w.storedEnds.number
--- a/internal/host/handler.go
+++ b/internal/host/handler.go
@@ -23,8 +23,16 @@
 // errOlderEpoch is returned to a planner if a newer one has called before.
 var errOlderEpoch = errors.New("a newer planner has taken over")
 
-// checkEpoch refuses a call of an older planner, and records the epoch of a newer one.
-func (a *Agent) checkEpoch(epoch int64) error {
+// errOtherAgent is returned to a planner for a call that is meant for another agent, which may have had this
+// one's address before.
+var errOtherAgent = errors.New("the call is meant for another agent")
+
+// checkCall refuses a call that is meant for another agent, unless its planner is of a version that names none.
+// It also refuses a call of an older planner, and records the epoch of a newer one.
+func (a *Agent) checkCall(agent string, epoch int64) error {
+	if agent != "" && agent != a.Name {
+		return connect.NewError(connect.CodeFailedPrecondition, fmt.Errorf("%w: %q, this is %q", errOtherAgent, agent, a.Name))
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if epoch < a.epoch {
@@ -42,7 +50,7 @@
 // Watch applies the planner's lease grant, waits for a change, and returns a report.
 func (a *Agent) Watch(ctx context.Context, req *connect.Request[pb.WatchRequest]) (*connect.Response[pb.WatchResponse], error) {
 	m := req.Msg
-	if err := a.checkEpoch(m.GetEpoch()); err != nil {
+	if err := a.checkCall(m.GetAgent(), m.GetEpoch()); err != nil {
 		return nil, err
 	}
 	a.applyGrant(m)
@@ -138,7 +146,7 @@
 // Order starts and stops tasks.
 func (a *Agent) Order(ctx context.Context, req *connect.Request[pb.OrderRequest]) (*connect.Response[pb.OrderResponse], error) {
 	m := req.Msg
-	if err := a.checkEpoch(m.GetEpoch()); err != nil {
+	if err := a.checkCall(m.GetAgent(), m.GetEpoch()); err != nil {
 		return nil, err
 	}
 	a.mu.Lock()
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -540,3 +540,50 @@
 		}
 	})
 }
+
+// A call for the agent that had this one's address before must change nothing. Planners of earlier versions
+// name no agent.
+func TestCallForAnotherAgentChangesNothing(t *testing.T) {
+	tests := []struct {
+		agent string
+		want  connect.Code // Zero if the call succeeds.
+	}{
+		{"a", 0},
+		{"", 0},
+		{"b", connect.CodeFailedPrecondition},
+		{"A", connect.CodeFailedPrecondition},
+	}
+	for _, tt := range tests {
+		t.Run(tt.agent, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t)
+				f.renewFor(2 * time.Second)
+				_, watchErr := f.agent.Watch(f.ctx, connect.NewRequest(&pb.WatchRequest{
+					Epoch: f.epoch + 1, Agent: tt.agent, AgentLife: "1", Report: f.lastReport.GetReport(),
+					Grant: durationpb.New(lease), Lifetime: f.executor.Lifetime.String(), StoredEnd: 5,
+				}))
+				time.Sleep(2 * time.Second) // Until no poll has the epoch before, for which the worker would fail it.
+				_, orderErr := f.agent.Order(f.ctx, connect.NewRequest(&pb.OrderRequest{
+					Epoch: f.epoch + 1, Agent: tt.agent, Lifetime: f.executor.Lifetime.String(),
+					Starts: []*pb.StartTask{{Task: "t", Run: 1}}, Stops: []*pb.StopTask{{Task: "u", Run: 1}},
+				}))
+				for _, err := range []error{watchErr, orderErr} {
+					var got connect.Code
+					if err != nil {
+						got = connect.CodeOf(err)
+					}
+					if got != tt.want {
+						t.Errorf("call for agent %q: %v, want code %v", tt.agent, err, tt.want)
+					}
+				}
+				f.lastReport = nil
+				if err := f.watch(); (err == nil) != (tt.want != 0) {
+					t.Errorf("after the call for agent %q, a call with the epoch before: %v", tt.agent, err)
+				}
+				if started := len(f.executor.Running()) > 0; started != (tt.want == 0) {
+					t.Errorf("after the call for agent %q, the worker runs %v", tt.agent, f.executor.Running())
+				}
+			})
+		})
+	}
+}
