dispatch: a lease that another process of the agent renews doesn't count as lapsed

While an agent is restarted, both processes can be up, and the planner's calls reach either. The new process takes the worker's lifetime as over when no poll of its own has been answered for a lease. It can't know that the planner went on with the old process, which renewed the lease. The planner took its word, and ended all runs of the lifetime, which went on: their tasks ran twice, or again after they were done.

TestTwoProcessesOfOneAgent lets the planner's calls reach one of two processes, or either by chance, while the worker doesn't answer one of them for up to 15 s.

Now a lifetime in an agent's list counts as over once the lease has ended that the planner may have granted to another incarnation of the agent, as far as this planner knows. A later lifetime of the worker still counts at once. So only an agent's word within a lease of its restart waits.

--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -275,6 +275,18 @@
 	isCut  bool            // No call of the entry reaches an agent.
 	thawed map[string]bool // Agents whose next Watch call has waited long enough.
 	held   map[string]*heldOrder
+	// choices has the functions that choose the process for a call to an address with several.
+	choices map[string]func() *host.Agent
+}
+
+// choose makes a function choose which process gets each call to an address.
+func (t *agentTable) choose(address string, f func() *host.Agent) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.choices == nil {
+		t.choices = make(map[string]func() *host.Agent)
+	}
+	t.choices[address] = f
 }
 
 // heldOrder is the first order that the network holds up. Later ones are lost.
@@ -362,6 +374,9 @@
 func (t *agentTable) get(ctx context.Context, address string) (*host.Agent, error) {
 	t.mu.Lock()
 	a := t.agents[address]
+	if f, ok := t.choices[address]; ok {
+		a = f()
+	}
 	cut := t.isCut
 	t.mu.Unlock()
 	if a == nil || cut {
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -11,6 +11,9 @@
 
 // applyReport applies an agent's report, given when it was asked for.
 func (ap *activePlanner) applyReport(w *worker, m *pb.WatchResponse, asked clock.Instant) {
+	if w.agentIncarnation != "" && w.agentIncarnation != m.GetAgentLife() {
+		w.otherLeaseEnd = ap.leaseEndAfter(w.receivedAt)
+	}
 	w.agentIncarnation, w.reportNumber, w.reportVersion = m.GetAgentLife(), m.GetReport(), m.GetVersion()
 	now := clock.Now()
 	// An agent that was silent may have been frozen, and reports what it knew before.
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -54,6 +55,8 @@
 	orderWakeup      chan struct{}
 	members          map[string]*member // Members that may still be running here, by task.
 	agentIncarnation string
+	// otherLeaseEnd is when a lease has ended that other incarnations of the agent may have renewed.
+	otherLeaseEnd    clock.Instant
 	reportNumber     uint64
 	reportVersion    uint64
 	receivedAt       clock.Instant // When the newest report arrived; zero before the first.
@@ -126,12 +129,11 @@
 	}
 }
 
-// lifetimeEnded reports whether a lifetime of the worker is known to be over.
+// lifetimeEnded reports whether a lifetime of the worker is known to be over. An agent may take one as over as
+// the lease has lapsed, which it can't tell if another process of the agent has renewed the lease.
 func (w *worker) lifetimeEnded(lifetime string) bool {
-	for _, o := range w.endedLifetimes {
-		if o == lifetime {
-			return true
-		}
+	if clock.Now() > w.otherLeaseEnd && slices.Contains(w.endedLifetimes, lifetime) {
+		return true
 	}
 	if w.lifetime == "" || w.lifetime == lifetime {
 		return false
@@ -150,7 +152,12 @@
 // leaseEnd returns when the worker's lease has ended for certain. An older planner may have
 // granted a full lease at any time before this one stepped up.
 func (ap *activePlanner) leaseEnd(w *worker) clock.Instant {
-	return max(w.receivedAt, ap.startedAt).Add(ap.Lease + ap.StopTimeout + leaseSlack)
+	return ap.leaseEndAfter(max(w.receivedAt, ap.startedAt))
+}
+
+// leaseEndAfter returns when a lease has ended for certain that was last granted for a report received at a time.
+func (ap *activePlanner) leaseEndAfter(received clock.Instant) clock.Instant {
+	return received.Add(ap.Lease + ap.StopTimeout + leaseSlack)
 }
 
 // grant returns how long the lease may last from when the newest report was sent. The lease ends at most
