dispatch: only a lifetime in which the worker has answered replaces the one before

An agent that has restarted takes up the first lifetime that is announced to it without a check, as it knows no other. If that heartbeat is of another writer, or a delayed one of an earlier lifetime whose time of day was ahead, the lifetime starts later than the one in which the worker goes on. The planner took the latter as over and ended its runs at once, while they went on under their lease: their tasks ran twice.

TestFirstHeartbeatAfterRestartOfOtherLifetimeEndsNoRuns failed before, with another id ("a.0.0.0 ran twice at once: run 1 until ...6.007, run 2 from ...4.081"), and with another start under the same id (the task was stopped and started again), whether the worker answers or not.

Now a later lifetime counts only if the agent says that the worker has answered in it. A worker that restarts answers its agent's first poll, which follows its heartbeat at once; if it never answers, the lease decides as before.

All tests of internal/dispatch and internal/host pass with the race detector.

--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -20,7 +20,7 @@
 	observed := min(now.Sub(w.receivedAt), maxReportInterval)
 	w.receivedAt = now
 	w.endedLifetimes = m.GetOver()
-	w.unreachable = m.GetUnreachable()
+	w.unreachable, w.answered = m.GetUnreachable(), m.GetLooked()
 	h := m.GetWorker()
 	if l := h.GetLifetime(); l != w.lifetime {
 		ap.Log.Info().Str("node", w.name).Str("lifetime", l).Str("before", w.lifetime).Str("life", w.agentIncarnation).Str("address", w.address).
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -62,6 +62,7 @@
 	receivedAt       clock.Instant // When the newest report arrived; zero before the first.
 	lifetime         string
 	lifetimeSince    clock.Instant // When it was first reported.
+	answered         bool          // The worker has answered in that lifetime.
 	hardware         workflow.Worker
 	zone             string
 	draining         bool
@@ -130,12 +131,14 @@
 }
 
 // lifetimeEnded reports whether a lifetime of the worker is known to be over. An agent may take one as over as
-// the lease has lapsed, which it can't tell if another process of the agent has renewed the lease.
+// the lease has lapsed, which it can't tell if another process of the agent has renewed the lease. A restarted
+// agent may take up a lifetime that another writer announced, so only one in which the worker answers replaces
+// others.
 func (w *worker) lifetimeEnded(lifetime string) bool {
 	if clock.Now() > w.otherLeaseEnd && slices.Contains(w.endedLifetimes, lifetime) {
 		return true
 	}
-	if w.lifetime == "" || w.lifetime == lifetime {
+	if w.lifetime == "" || w.lifetime == lifetime || !w.answered {
 		return false
 	}
 	now, err1 := host.ParseLifetime(w.lifetime)
