host: an announced lifetime counts only once the worker confirms it

A heartbeat of another writer (another id or a later start) that came while the worker didn't answer the check within 0.5 s, answered 429 or 503, or lost the connection ended the worker's lifetime, although it went on: the agent reported it as over, and the planner started its runs elsewhere.

confirmLifetime took the later start as valid unless the worker denied it. Now the lifetime counts only if the worker answers in it. It is asked twice within the second that it waits for its acknowledgement; if it neither confirms nor denies, the heartbeat fails with 503 and the next one is checked anew. That holds without a current lifetime, too, except before a planner has called: the agent then has no epoch, and a worker that knows one refuses the question.

What it costs: a restarted worker that doesn't answer its first check is taken up at its next heartbeat, 1.5 s later; as long as it doesn't answer, it could start nothing.

TestUnconfirmedHeartbeatEndsNoLifetime failed before in all twelve cases, in the eight with a later start with 'lifetime other@2, want w@1', 'over: [w@1], want none', and the run killed; TestRestartedWorkerIsUsedOnceItConfirms with 'heartbeat of a silent worker: <nil>'. Both pass now, as do the tests of host, platform (with -race) and dispatch.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -28,9 +28,12 @@
 	// endsPendingDelay is the delay before the next poll while the planner has not stored all run
 	// ends.
 	endsPendingDelay = 40 * time.Millisecond
-	// confirmTimeout bounds the call that checks an announced lifetime. A worker waits a second for the
-	// acknowledgement of its heartbeat.
-	confirmTimeout = 500 * time.Millisecond
+	// confirmRetryDelay is the time after which a worker that didn't tell whether it is in an announced
+	// lifetime is asked again.
+	confirmRetryDelay = 300 * time.Millisecond
+	// confirmTimeout bounds the second of these calls. A worker waits a second for the acknowledgement of its
+	// heartbeat.
+	confirmTimeout = 600 * time.Millisecond
 	// maxEndedLifetimes bounds the list of ended lifetimes in a report; a worker seldom has two in
 	// a minute.
 	maxEndedLifetimes = 32
@@ -89,21 +92,28 @@
 	startedAt clock.Instant
 }
 
-// ErrOtherWorker is returned for a heartbeat that the agent's worker did not send.
-var ErrOtherWorker = errors.New("the heartbeat is not this worker's")
+// Errors with which a heartbeat fails.
+var (
+	// ErrOtherWorker is returned for a heartbeat that the agent's worker did not send.
+	ErrOtherWorker = errors.New("the heartbeat is not this worker's")
+	// ErrUnconfirmed is returned for a heartbeat that announces a lifetime which the worker has neither
+	// confirmed nor denied. The worker sends it again.
+	ErrUnconfirmed = errors.New("the worker didn't confirm the lifetime")
+)
 
 // Heartbeat handles a heartbeat of the worker. A heartbeat that is older than the newest one is
-// ignored. One that announces another lifetime than the current one is checked with the worker, as
-// another writer may have sent it, and fails with ErrOtherWorker if the worker denies it. One of a
-// lifetime whose lease has lapsed is ignored until the worker answers: its runs are over then, but the
-// worker may go on.
+// ignored. One that announces another lifetime than the current one counts only once the worker has
+// confirmed it, as another writer may have sent it, and the planner takes the runs of a lifetime that was
+// replaced as ended. It fails with ErrOtherWorker if the worker denies it, and with ErrUnconfirmed if the
+// worker doesn't tell. One of a lifetime whose lease has lapsed is ignored until the worker answers: its
+// runs are over then, but the worker may go on.
 func (a *Agent) Heartbeat(ctx context.Context, hb Heartbeat) error {
 	check, err := a.confirmLifetime(ctx, hb.Lifetime)
-	if err != nil {
-		return err
-	}
-	if a.lapsed(hb.Lifetime) && !a.answersIn(ctx, hb.Lifetime) {
+	switch {
+	case errors.Is(err, ErrUnconfirmed) && a.lapsed(hb.Lifetime):
 		return nil
+	case err != nil:
+		return err
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -139,32 +149,43 @@
 	return nil
 }
 
-// confirmLifetime asks the worker whether it is in an announced lifetime that would replace the
-// current one: the planner takes the runs of a lifetime that was replaced as ended. If the worker
-// doesn't answer, the later lifetime counts. A worker whose time of day has jumped back may announce
-// one that is earlier than the one before.
-// It returns what the check showed, for the log.
+// confirmLifetime asks the worker whether it is in an announced lifetime, if that isn't the current one. It
+// returns what the check showed, for the log. Silence confirms nothing. Before a planner has called, a worker
+// may refuse the question, and the first announced lifetime is taken as it is: until the worker has answered
+// a poll in it, it proves nothing to the planner.
 func (a *Agent) confirmLifetime(ctx context.Context, announced Lifetime) (check string, err error) {
-	a.mu.Lock()
-	current, epoch := a.lifetime, a.epoch
-	a.mu.Unlock()
-	if current.ID == "" || announced == current {
-		return "not needed", nil
+	for _, timeout := range []time.Duration{confirmRetryDelay, confirmTimeout} {
+		a.mu.Lock()
+		current, epoch := a.lifetime, a.epoch
+		a.mu.Unlock()
+		if announced == current || current.ID == "" && epoch == 0 {
+			return "not needed", nil
+		}
+		var state WorkerState
+		state, err = a.probe(ctx, timeout, PollRequest{Lifetime: announced.String(), Epoch: epoch, Probe: true})
+		switch {
+		case err == nil && state.Lifetime == announced.String():
+			return "confirmed", nil
+		case err == nil || errors.Is(err, ErrOtherLifetime):
+			a.Log.Warn().Err(err).Str("shown", state.Lifetime).Stringer("announced", announced).Stringer("lifetime", current).
+				Msg("Ignored a heartbeat for a lifetime that the worker is not in.")
+			return "", fmt.Errorf("host.Heartbeat: lifetime %v: %w", announced, ErrOtherWorker)
+		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	a.Log.Warn().Err(err).Stringer("announced", announced).Msg("Put off a heartbeat for a lifetime that the worker doesn't confirm.")
+	return "", fmt.Errorf("host.Heartbeat: lifetime %v: %w: %w", announced, ErrUnconfirmed, err)
+}
+
+// probe makes one call to check an announced lifetime. If the worker neither confirms nor denies it, the
+// call takes all of its time.
+func (a *Agent) probe(ctx context.Context, timeout time.Duration, req PollRequest) (WorkerState, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	state, err := a.Worker.Poll(ctx, PollRequest{Lifetime: announced.String(), Epoch: epoch, Probe: true})
-	confirmed := err == nil && state.Lifetime == announced.String()
-	denied := errors.Is(err, ErrOtherLifetime) || err == nil && !confirmed
-	if denied || !confirmed && announced.StartedUnixMS < current.StartedUnixMS {
-		a.Log.Warn().Err(err).Stringer("announced", announced).Stringer("lifetime", current).
-			Msg("Ignored a heartbeat for a lifetime that the worker is not in.")
-		return "", fmt.Errorf("host.Heartbeat: lifetime %v: %w", announced, ErrOtherWorker)
-	}
-	if err != nil {
-		return err.Error(), nil
+	state, err := a.Worker.Poll(ctx, req)
+	if err != nil && !errors.Is(err, ErrOtherLifetime) {
+		<-ctx.Done()
 	}
-	return "confirmed", nil
+	return state, err
 }
 
 // lapsed reports whether a lifetime is the last one that was announced, and was taken as over since.
@@ -174,17 +195,6 @@
 	return a.lifetime.ID == "" && l == a.heartbeat.Lifetime
 }
 
-// answersIn reports whether the worker answers a call that is meant for a lifetime.
-func (a *Agent) answersIn(ctx context.Context, l Lifetime) bool {
-	a.mu.Lock()
-	epoch := a.epoch
-	a.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
-	defer cancel()
-	state, err := a.Worker.Poll(ctx, PollRequest{Lifetime: l.String(), Epoch: epoch, Probe: true})
-	return err == nil && state.Lifetime == l.String()
-}
-
 // Leave handles the worker's announcement that it shuts down. As that names the worker's id only, it counts
 // if the current lifetime drains, as workers do first: otherwise it may be a delayed one of an earlier
 // lifetime with the same id, and a poll that fails would end the runs of a worker that stays.
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"os"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -39,6 +41,29 @@
 	receivedAt time.Time
 	maxEnded   int
 	storedEnd  uint64 // Sent with each watch call.
+	// onPoll, if set, makes the agent's polls in place of the worker's poll, which it is given.
+	onPoll atomic.Pointer[func(ctx context.Context, r host.PollRequest, poll pollFunc) (host.WorkerState, error)]
+}
+
+// pollFunc is the Poll call of a worker.
+type pollFunc = func(context.Context, host.PollRequest) (host.WorkerState, error)
+
+// worker returns the calls to the current worker with onPoll applied.
+func (f *fixture) worker() host.Worker {
+	w := f.machine.Worker()
+	poll := w.Poll
+	w.Poll = func(ctx context.Context, r host.PollRequest) (host.WorkerState, error) {
+		if onPoll := f.onPoll.Load(); onPoll != nil {
+			return (*onPoll)(ctx, r, poll)
+		}
+		return poll(ctx, r)
+	}
+	return w
+}
+
+// setOnPoll sets onPoll.
+func (f *fixture) setOnPoll(onPoll func(context.Context, host.PollRequest, pollFunc) (host.WorkerState, error)) {
+	f.onPoll.Store(&onPoll)
 }
 
 func newFixture(t *testing.T) *fixture { return newFixtureWith(t, 0) }
@@ -52,7 +77,7 @@
 	})
 	f := &fixture{t: t, ctx: ctx, epoch: 1, maxEnded: maxEnded}
 	f.startExecutor(host.Lifetime{ID: "w", StartedUnixMS: 1})
-	f.agent = &host.Agent{Name: "a", Worker: f.machine.Worker(), Incarnation: "1", MaxLease: lease}
+	f.agent = &host.Agent{Name: "a", Worker: f.worker(), Incarnation: "1", MaxLease: lease}
 	go f.agent.Run(ctx)
 	f.heartbeat(f.executor.Heartbeat("s", "r1-1", 1))
 	return f
@@ -280,6 +305,91 @@
 	}
 }
 
+// Another writer's heartbeat comes while the worker doesn't answer the check of it. Silence must not end the
+// lifetime of a worker that runs on.
+func TestUnconfirmedHeartbeatEndsNoLifetime(t *testing.T) {
+	checks := []struct {
+		name   string
+		answer func(context.Context) error
+	}{
+		{"silence", func(ctx context.Context) error { <-ctx.Done(); return ctx.Err() }},
+		{"unhealthy", func(context.Context) error { return host.ErrUnhealthy }},
+		{"a lost connection", func(context.Context) error { return io.ErrUnexpectedEOF }},
+		{"fenced", func(context.Context) error { return host.ErrFenced }},
+	}
+	announced := []struct {
+		name     string
+		lifetime host.Lifetime
+	}{
+		{"another id, started later", host.Lifetime{ID: "other", StartedUnixMS: 2}},
+		{"the same id, started later", host.Lifetime{ID: "w", StartedUnixMS: 2}},
+		{"another id, started before", host.Lifetime{ID: "other"}},
+	}
+	for _, check := range checks {
+		for _, tt := range announced {
+			t.Run(check.name+", "+tt.name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFixture(t)
+					f.renewFor(time.Second)
+					f.start("j.0.0.0")
+					f.setOnPoll(func(ctx context.Context, r host.PollRequest, poll pollFunc) (host.WorkerState, error) {
+						if r.Probe {
+							return host.WorkerState{}, check.answer(ctx)
+						}
+						return poll(ctx, r)
+					})
+					odd := f.executor.Heartbeat("s", "r1-1", 5)
+					odd.Lifetime = tt.lifetime
+					if err := f.agent.Heartbeat(f.ctx, odd); !errors.Is(err, host.ErrUnconfirmed) {
+						t.Errorf("heartbeat: %v, want %v", err, host.ErrUnconfirmed)
+					}
+					f.renewFor(2 * lease)
+					f.wantLifetime(f.executor.Lifetime)
+					if got := f.lastReport.GetOver(); len(got) != 0 {
+						t.Errorf("over: %v, want none, as the worker goes on", got)
+					}
+					if diff := cmp.Diff([]string{"j.0.0.0"}, f.executor.Running()); diff != "" {
+						t.Errorf("running (-want +got):\n%s", diff)
+					}
+				})
+			})
+		}
+	}
+}
+
+// A worker that has restarted doesn't answer at first. Its new lifetime counts from the first heartbeat that
+// it confirms, and the one before is over then.
+func TestRestartedWorkerIsUsedOnceItConfirms(t *testing.T) {
+	for _, id := range []string{"w", "x"} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(t)
+			f.renewFor(time.Second)
+			before := f.executor.Lifetime
+			f.executor.Crash()
+			f.startExecutor(host.Lifetime{ID: id, StartedUnixMS: 2})
+			f.executor.Silence(true)
+			sent := time.Now()
+			if err := f.agent.Heartbeat(f.ctx, f.executor.Heartbeat("s", "r1-1", 1)); !errors.Is(err, host.ErrUnconfirmed) {
+				t.Errorf("heartbeat of a silent worker: %v, want %v", err, host.ErrUnconfirmed)
+			}
+			if took := time.Since(sent); took >= time.Second {
+				t.Errorf("the heartbeat was answered after %v; workers wait a second", took)
+			}
+			f.wantLifetime(before)
+			f.executor.Silence(false)
+			f.heartbeat(f.executor.Heartbeat("s", "r1-1", 2))
+			f.wantLifetime(f.executor.Lifetime)
+			if diff := cmp.Diff([]string{before.String()}, f.lastReport.GetOver()); diff != "" {
+				t.Errorf("over (-want +got):\n%s", diff)
+			}
+			f.renewFor(time.Second)
+			if got := f.start("j.0.0.0"); got != pb.Outcome_OUTCOME_STARTED {
+				t.Errorf("start: %v, want started", got)
+			}
+		})
+	}
+}
+
 // A worker restarts after its time of day has jumped back, so that its new lifetime seems to be older
 // than the one before.
 func TestWorkerWhoseClockJumpedBackIsUsed(t *testing.T) {
