host: a lifetime's confirmation counts only while the lifetime that it was checked against lasts

An agent whose process was paused between the worker's answer to a check and its use applied a lifetime that the worker had left meanwhile, and reported the worker's sound one as over.

The check is made without the lock, and what it showed was used whatever had become the current lifetime. Now a heartbeat is applied only if the current lifetime is still the one that was checked against; otherwise it is checked anew.

TestOutdatedConfirmationEndsNoLifetime failed before with 'lifetime x@2, want y@3' and y@3 among those that are over. It passes now, as do the tests of host with -race.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -108,18 +108,30 @@
 // worker doesn't tell. One of a lifetime whose lease has lapsed is ignored until the worker answers: its
 // runs are over then, but the worker may go on.
 func (a *Agent) Heartbeat(ctx context.Context, hb Heartbeat) error {
-	check, err := a.confirmLifetime(ctx, hb.Lifetime)
-	switch {
-	case errors.Is(err, ErrUnconfirmed) && a.lapsed(hb.Lifetime):
-		return nil
-	case err != nil:
-		return err
+	for {
+		current, check, err := a.confirmLifetime(ctx, hb.Lifetime)
+		switch {
+		case errors.Is(err, ErrUnconfirmed) && a.lapsed(hb.Lifetime):
+			return nil
+		case err != nil:
+			return err
+		case a.applyHeartbeat(hb, current, check):
+			return nil
+		}
 	}
+}
+
+// applyHeartbeat applies a heartbeat that was checked while the worker was in the lifetime current. It
+// returns false if the worker is in another one by now: then the check says nothing.
+func (a *Agent) applyHeartbeat(hb Heartbeat, current Lifetime, check string) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.lifetime != current {
+		return false
+	}
 	same := hb.Lifetime == a.heartbeat.Lifetime
 	if same && hb.Sequence <= a.heartbeat.Sequence {
-		return nil
+		return true
 	}
 	if !same {
 		a.Log.Info().Stringer("lifetime", hb.Lifetime).Str("service", hb.Service).Str("rack", hb.Rack).
@@ -146,34 +158,35 @@
 	if notable {
 		a.notifyChange()
 	}
-	return nil
+	return true
 }
 
 // confirmLifetime asks the worker whether it is in an announced lifetime, if that isn't the current one. It
-// returns what the check showed, for the log. Silence confirms nothing. Before a planner has called, a worker
-// may refuse the question, and the first announced lifetime is taken as it is: until the worker has answered
-// a poll in it, it proves nothing to the planner.
-func (a *Agent) confirmLifetime(ctx context.Context, announced Lifetime) (check string, err error) {
+// returns the current one, and what the check showed, for the log. Silence confirms nothing. Before a
+// planner has called, a worker may refuse the question, and the first announced lifetime is taken as it is:
+// until the worker has answered a poll in it, it proves nothing to the planner.
+func (a *Agent) confirmLifetime(ctx context.Context, announced Lifetime) (current Lifetime, check string, err error) {
 	for _, timeout := range []time.Duration{confirmRetryDelay, confirmTimeout} {
 		a.mu.Lock()
-		current, epoch := a.lifetime, a.epoch
+		var epoch int64
+		current, epoch = a.lifetime, a.epoch
 		a.mu.Unlock()
 		if announced == current || current.ID == "" && epoch == 0 {
-			return "not needed", nil
+			return current, "not needed", nil
 		}
 		var state WorkerState
 		state, err = a.probe(ctx, timeout, PollRequest{Lifetime: announced.String(), Epoch: epoch, Probe: true})
 		switch {
 		case err == nil && state.Lifetime == announced.String():
-			return "confirmed", nil
+			return current, "confirmed", nil
 		case err == nil || errors.Is(err, ErrOtherLifetime):
 			a.Log.Warn().Err(err).Str("shown", state.Lifetime).Stringer("announced", announced).Stringer("lifetime", current).
 				Msg("Ignored a heartbeat for a lifetime that the worker is not in.")
-			return "", fmt.Errorf("host.Heartbeat: lifetime %v: %w", announced, ErrOtherWorker)
+			return current, "", fmt.Errorf("host.Heartbeat: lifetime %v: %w", announced, ErrOtherWorker)
 		}
 	}
 	a.Log.Warn().Err(err).Stringer("announced", announced).Msg("Put off a heartbeat for a lifetime that the worker doesn't confirm.")
-	return "", fmt.Errorf("host.Heartbeat: lifetime %v: %w: %w", announced, ErrUnconfirmed, err)
+	return current, "", fmt.Errorf("host.Heartbeat: lifetime %v: %w: %w", announced, ErrUnconfirmed, err)
 }
 
 // probe makes one call to check an announced lifetime. If the worker neither confirms nor denies it, the
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -390,6 +390,43 @@
 	}
 }
 
+// The agent is paused between the worker's answer and its use. By then the worker has restarted, and the new
+// lifetime was announced and confirmed.
+func TestOutdatedConfirmationEndsNoLifetime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		f.renewFor(time.Second)
+		f.executor.Crash()
+		f.startExecutor(host.Lifetime{ID: "x", StartedUnixMS: 2})
+		paused := make(chan struct{})
+		f.setOnPoll(func(ctx context.Context, r host.PollRequest, poll pollFunc) (host.WorkerState, error) {
+			state, err := poll(ctx, r)
+			if r.Lifetime == "x@2" {
+				<-paused
+			}
+			return state, err
+		})
+		outdated := f.executor.Heartbeat("s", "r1-1", 1)
+		result := make(chan error)
+		go func() { result <- f.agent.Heartbeat(f.ctx, outdated) }()
+		time.Sleep(100 * time.Millisecond)
+		f.executor.Crash()
+		f.startExecutor(host.Lifetime{ID: "y", StartedUnixMS: 3})
+		f.heartbeat(f.executor.Heartbeat("s", "r1-1", 1))
+		f.renewFor(time.Second)
+		f.start("j.0.0.0")
+		close(paused)
+		if err := <-result; !errors.Is(err, host.ErrOtherWorker) {
+			t.Errorf("heartbeat of the lifetime before: %v, want %v", err, host.ErrOtherWorker)
+		}
+		f.renewFor(time.Second)
+		f.wantLifetime(f.executor.Lifetime)
+		if diff := cmp.Diff([]string{"w@1"}, f.lastReport.GetOver()); diff != "" {
+			t.Errorf("over (-want +got):\n%s", diff)
+		}
+	})
+}
+
 // A worker restarts after its time of day has jumped back, so that its new lifetime seems to be older
 // than the one before.
 func TestWorkerWhoseClockJumpedBackIsUsed(t *testing.T) {
