host: a lapsed lease is over only once the worker has had time to end its runs

The agent reported a lifetime as over at the moment in which its lease had lapsed on the slowest allowed clock. A worker takes up to its stop timeout to end the runs, so that they could run beside their next runs that long. The planner's own bound (leaseEnd) has had that time and 300 ms of slack all along.

lease.lapsed now waits for the stop timeout, which agents have in their settings, and the same slack.

TestLifetimeIsNotOverBeforeLapsedRunsHaveEnded, with a worker whose clock is 2% slow and that kills its runs 200 ms after the lapse, failed before: 'slowness 1.02, answers lost after 0s: the lifetime is over, but [j.0.0.0] is running'. It passes now, as do the tests of host (with -race) and dispatch.

--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -653,8 +653,8 @@
 func (c *cluster) startAgentProcess(a *agent, rack string) {
 	running, kill := context.WithCancel(c.ctx)
 	a.process = &host.Agent{
-		Name: a.name, Worker: a.worker(running), MaxLease: maxLease, Incarnation: fmt.Sprint(time.Now().UnixNano()),
-		Log: c.log.With().Str("at", a.name).Logger(),
+		Name: a.name, Worker: a.worker(running), MaxLease: maxLease, StopTimeout: options.StopTimeout,
+		Incarnation: fmt.Sprint(time.Now().UnixNano()), Log: c.log.With().Str("at", a.name).Logger(),
 	}
 	for _, e := range c.entries {
 		e.agents.set(agentAddress(a.name), a.process)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -48,6 +48,8 @@
 	Worker Worker
 	// MaxLease is the longest lease that the worker may be granted.
 	MaxLease time.Duration
+	// StopTimeout is the longest time that the worker takes to end its runs, also once the lease has lapsed.
+	StopTimeout time.Duration
 	// Incarnation distinguishes restarts of the agent.
 	Incarnation string
 	// WorkerChanged, if set, is called when the worker's description in its heartbeats changes.
@@ -474,7 +476,7 @@
 		a.notifyChange()
 	}
 	answered := errors.Is(err, ErrUnhealthy)
-	if !answered && (a.leaving || a.lease.lapsed(now)) && a.lifetime.ID != "" {
+	if !answered && (a.leaving || a.lease.lapsed(now, a.StopTimeout)) && a.lifetime.ID != "" {
 		why := "its lease has lapsed"
 		if a.leaving {
 			why = "it has left"
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -29,6 +29,9 @@
 // lease is the longest lease, which the planner of the fixture grants with each call.
 const lease = 10 * time.Second
 
+// stopTimeout is the longest time that the worker takes to end its runs.
+const stopTimeout = 200 * time.Millisecond
+
 // fixture holds an agent and its worker, and acts as the planner that renews the lease.
 type fixture struct {
 	t          *testing.T
@@ -77,7 +80,7 @@
 	})
 	f := &fixture{t: t, ctx: ctx, epoch: 1, maxEnded: maxEnded}
 	f.startExecutor(host.Lifetime{ID: "w", StartedUnixMS: 1})
-	f.agent = &host.Agent{Name: "a", Worker: f.worker(), Incarnation: "1", MaxLease: lease}
+	f.agent = &host.Agent{Name: "a", Worker: f.worker(), Incarnation: "1", MaxLease: lease, StopTimeout: stopTimeout}
 	go f.agent.Run(ctx)
 	f.heartbeat(f.executor.Heartbeat("s", "r1-1", 1))
 	return f
@@ -190,6 +193,46 @@
 	})
 }
 
+// A worker takes a moment to end its runs once its lease has lapsed. Its lifetime must not be reported as over
+// before.
+func TestLifetimeIsNotOverBeforeLapsedRunsHaveEnded(t *testing.T) {
+	for _, slowness := range []float64{1, 1.02} {
+		for offset := time.Duration(0); offset < time.Second; offset += 50 * time.Millisecond {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t)
+				f.executor.ClockSlowdown, f.executor.KillDelay = slowness, stopTimeout
+				f.renewFor(3 * time.Second)
+				f.start("j.0.0.0")
+				f.renewFor(2 * time.Second)
+				time.Sleep(offset)
+				if err := f.watch(); err != nil {
+					t.Fatal(err)
+				}
+				f.setOnPoll(func(ctx context.Context, r host.PollRequest, poll pollFunc) (host.WorkerState, error) {
+					_, _ = poll(ctx, r) // The answer is lost.
+					<-ctx.Done()
+					return host.WorkerState{}, ctx.Err()
+				})
+				time.Sleep(2 * time.Second) // The next poll extends the lease to the end of that grant.
+				for end := time.Now().Add(lease + 4*time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+					if err := f.watch(); err != nil {
+						t.Fatal(err)
+					}
+					if len(f.lastReport.GetOver()) > 0 {
+						break
+					}
+				}
+				if len(f.lastReport.GetOver()) == 0 {
+					t.Error("the lifetime was never reported as over")
+				}
+				if got := f.executor.Running(); len(got) > 0 {
+					t.Errorf("slowness %v, answers lost after %v: the lifetime is over, but %v is running", slowness, offset, got)
+				}
+			})
+		}
+	}
+}
+
 func TestOlderPlannerIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t)
--- a/internal/host/lease.go
+++ b/internal/host/lease.go
@@ -13,6 +13,8 @@
 	// minClockRate is the lowest rate of a worker's clock relative to the agent's; the platform
 	// guarantees a deviation of at most 2%.
 	minClockRate = 0.98
+	// leaseSlack is added to the time that a worker takes to end its runs after a lease, for timers that are late.
+	leaseSlack = 300 * time.Millisecond
 )
 
 // lease tracks how far the worker's lease may be and was extended. All times are on the agent's
@@ -76,10 +78,12 @@
 	return end
 }
 
-// lapsed reports whether the lease has ended for certain.
-func (l *lease) lapsed(now clock.Instant) bool {
+// lapsed reports whether the lease has ended for certain, and with it what ran under it, given the time that
+// the worker may take to stop its runs.
+func (l *lease) lapsed(now clock.Instant, stopTimeout time.Duration) bool {
 	if l.clockReadAt == 0 {
 		return false
 	}
-	return l.workerClock+time.Duration(minClockRate*float64(now.Sub(l.clockReadAt))) > l.latestEnd
+	sinceRead := now.Sub(l.clockReadAt) - stopTimeout - leaseSlack
+	return l.workerClock+time.Duration(minClockRate*float64(sinceRead)) > l.latestEnd
 }
--- a/internal/standin/executor.go
+++ b/internal/standin/executor.go
@@ -36,6 +36,8 @@
 	Checkpoint string
 	// ClockSlowdown is the factor by which the executor's clock is slower than real time; zero means 1.
 	ClockSlowdown float64
+	// KillDelay is how long runs go on after the lease has lapsed.
+	KillDelay time.Duration
 
 	mu          sync.Mutex
 	started     clock.Instant
@@ -201,8 +203,8 @@
 			e.end(name, r, host.Failed, done)
 		case done <= now && done <= lapse:
 			e.end(name, r, host.Done, done)
-		case lapse < now:
-			e.end(name, r, host.Lapsed, lapse)
+		case lapse.Add(e.KillDelay) < now:
+			e.end(name, r, host.Lapsed, lapse.Add(e.KillDelay))
 		}
 	}
 }
