host: a worker that shuts down is over once nothing listens at its address

After a worker's announcement that it shuts down, the first poll that failed in any way, be it 0.7 s of silence or a lost connection, ended its lifetime. A worker that was still running its tasks then had their next runs beside them.

Now only a refused connection shows that it has ended; on any other failure its lease has to lapse. Weighed: to wait for the lease in any case costs up to ten seconds after each planned end. Polls that are under way when the worker ends fail with a lost connection, and the next one, 0.2 s later, is refused; so tasks that ran until the end start again 0.2 s later than before, and after up to ten seconds if the machine's address falls silent with the worker. A failed poll of an earlier lifetime says nothing about the current one, and is ignored.

TestLeaveCountsOnlyAfterDraining demanded that silence ends the lifetime of a worker that has drained; that is the fault. Its successor TestLeftWorkerIsOverOnceNothingListens keeps the rest (without draining a failed call ends nothing before the lease), demands a second for a refused connection, and that nothing runs once the lifetime is over; two of its cases failed before: 'drains, silence: the lifetime is over, but [j.0.0.0] is running', likewise for a lost connection.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -212,7 +212,7 @@
 
 // Leave handles the worker's announcement that it shuts down. As that names the worker's id only, it counts
 // if the current lifetime drains, as workers do first: otherwise it may be a delayed one of an earlier
-// lifetime with the same id, and a poll that fails would end the runs of a worker that stays.
+// lifetime with the same id, and a refused connection would end the runs of a worker that stays.
 func (a *Agent) Leave(id string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -292,7 +292,7 @@
 		case ctx.Err() != nil:
 			return ctx.Err() // The poll was cancelled, so its error says nothing about the worker.
 		case err != nil:
-			a.handlePollError(err)
+			a.handlePollError(req.Lifetime, err)
 			a.waitForChange(ctx, pollRetryDelay)
 		case a.endsPending():
 			a.waitForChange(ctx, endsPendingDelay)
@@ -464,26 +464,32 @@
 	return false
 }
 
-// handlePollError marks the worker as unreachable. Unless it answered that it is unhealthy, its
-// lifetime is taken as over if it was shutting down or its lease has lapsed.
-func (a *Agent) handlePollError(err error) {
+// handlePollError handles a poll of a lifetime that failed, and marks the worker as unreachable. The lifetime
+// is taken as over if its lease has lapsed, unless the worker answered that it is unhealthy, or if the worker
+// has announced that it shuts down and nothing listens at its address any more. Another failure, such as
+// silence, doesn't tell whether it has ended yet.
+func (a *Agent) handlePollError(lifetime string, err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := clock.Now()
+	if lifetime != a.lifetime.String() {
+		return // It says nothing about the current lifetime.
+	}
 	if !a.unreachable {
 		a.unreachable = true
 		a.Log.Warn().Err(err).Stringer("lifetime", a.lifetime).Msg("The worker doesn't answer.")
 		a.notifyChange()
 	}
-	answered := errors.Is(err, ErrUnhealthy)
-	if !answered && (a.leaving || a.lease.lapsed(now, a.StopTimeout)) && a.lifetime.ID != "" {
-		why := "its lease has lapsed"
-		if a.leaving {
-			why = "it has left"
-		}
-		a.endLifetime(a.lifetime, why)
-		a.lifetime = Lifetime{}
-		a.resetState()
-		a.notifyChange()
+	why := ""
+	switch {
+	case a.leaving && errors.Is(err, ErrNotListening):
+		why = "it has left"
+	case !errors.Is(err, ErrUnhealthy) && a.lease.lapsed(clock.Now(), a.StopTimeout):
+		why = "its lease has lapsed"
+	default:
+		return
 	}
+	a.endLifetime(a.lifetime, why)
+	a.lifetime = Lifetime{}
+	a.resetState()
+	a.notifyChange()
 }
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -633,21 +633,51 @@
 }
 
 // The announcement that a worker shuts down names its id only. One of an earlier lifetime that arrives late
-// must not make a single failed poll end the current one.
-func TestLeaveCountsOnlyAfterDraining(t *testing.T) {
-	for _, drains := range []bool{false, true} {
-		synctest.Test(t, func(t *testing.T) {
-			f := newFixture(t)
-			f.renewFor(time.Second)
-			hb := f.executor.Heartbeat("s", "r1-1", 2)
-			hb.Draining, hb.DrainRemaining = drains, time.Second
-			f.heartbeat(hb)
-			f.agent.Leave("w")
-			f.executor.Silence(true)
-			f.renewFor(4 * time.Second)
-			if over := len(f.lastReport.GetOver()) > 0; over != drains {
-				t.Errorf("draining %v: the lifetime is over %v after a failed poll, want %v", drains, over, drains)
-			}
+// must not make a refused connection end the current one. A worker that leaves may still be running its tasks
+// as it doesn't answer: that it has ended is shown by a refused connection, or by its lease.
+func TestLeftWorkerIsOverOnceNothingListens(t *testing.T) {
+	fail := func(err error) func(*fixture) {
+		return func(f *fixture) {
+			f.setOnPoll(func(context.Context, host.PollRequest, pollFunc) (host.WorkerState, error) {
+				return host.WorkerState{}, err
+			})
+		}
+	}
+	tests := []struct {
+		name   string
+		drains bool
+		then   func(*fixture)
+		// When the lifetime is over, at the earliest and at the latest.
+		earliest, latest time.Duration
+	}{
+		{"drains, nothing listens", true, func(f *fixture) { f.executor.Crash() }, 0, time.Second},
+		{"doesn't drain, nothing listens", false, func(f *fixture) { f.executor.Crash() }, 4 * time.Second, lease + 4*time.Second},
+		{"drains, silence", true, func(f *fixture) { f.executor.Silence(true) }, 4 * time.Second, lease + 4*time.Second},
+		{"drains, a lost connection", true, fail(io.ErrUnexpectedEOF), 4 * time.Second, lease + 4*time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t)
+				f.renewFor(3 * time.Second)
+				f.start("j.0.0.0")
+				hb := f.executor.Heartbeat("s", "r1-1", 2)
+				hb.Draining, hb.DrainRemaining = tt.drains, time.Second
+				f.heartbeat(hb)
+				f.renewFor(time.Second)
+				f.agent.Leave("w")
+				tt.then(f)
+				left := time.Now()
+				for len(f.lastReport.GetOver()) == 0 && time.Since(left) <= tt.latest {
+					f.renewFor(100 * time.Millisecond)
+				}
+				if took := time.Since(left); took < tt.earliest || took > tt.latest {
+					t.Errorf("the lifetime is over after %v, want %v to %v", took, tt.earliest, tt.latest)
+				}
+				if got := f.executor.Running(); len(got) > 0 {
+					t.Errorf("the lifetime is over, but %v is running", got)
+				}
+			})
 		})
 	}
 }
--- a/internal/host/worker.go
+++ b/internal/host/worker.go
@@ -21,6 +21,8 @@
 	ErrOtherLifetime = errors.New("worker has another lifetime")
 	// ErrFenced is returned if the worker has seen a higher epoch.
 	ErrFenced = errors.New("order fenced by a higher epoch")
+	// ErrNotListening is returned if the worker's machine refuses connections, as nothing listens there.
+	ErrNotListening = errors.New("nothing listens at the worker's address")
 )
 
 // Worker has the calls to the agent's worker.
--- a/internal/standin/executor.go
+++ b/internal/standin/executor.go
@@ -242,7 +242,7 @@
 var ErrOldRun = errors.New("old run")
 
 // errUnreachable is returned for calls after a crash.
-var errUnreachable = fmt.Errorf("standin.Executor: connection refused")
+var errUnreachable = fmt.Errorf("standin.Executor: connection refused: %w", host.ErrNotListening)
 
 // checkReachable returns an error if the executor has crashed. If it is silenced, it blocks until
 // ctx is done.
