standin: a stopped or lapsed run goes on until it has ended

A worker may take up to its stop timeout to end a run, during which the run counts against its room and is listed as running. The stand-in ended runs at once, so that no test could show a second run that begins meanwhile. It now takes StopTime, if set, for stops and for the kill at a lapse of the lease.

It kept one run of each task, so a start of a higher run in place of one that was still running dropped that one unseen. It now keeps runs by task and number, and the run checker counts those that have not ended.

The test of the kill after a lapse uses it in place of a field of its own.

--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -200,7 +200,8 @@
 		for offset := time.Duration(0); offset < time.Second; offset += 50 * time.Millisecond {
 			synctest.Test(t, func(t *testing.T) {
 				f := newFixture(t)
-				f.executor.ClockSlowdown, f.executor.KillDelay = slowness, stopTimeout
+				f.executor.ClockSlowdown = slowness
+				f.executor.StopTime = func() time.Duration { return stopTimeout }
 				f.renewFor(3 * time.Second)
 				f.start("j.0.0.0")
 				f.renewFor(2 * time.Second)
--- a/internal/standin/executor.go
+++ b/internal/standin/executor.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -34,16 +35,17 @@
 	CutsSilently bool
 	// Checkpoint is what each running task gives as its checkpoint.
 	Checkpoint string
+	// StopTime, if set, returns how long it takes to end a run that was stopped or whose lease has lapsed. The
+	// run goes on until then.
+	StopTime func() time.Duration
 	// ClockSlowdown is the factor by which the executor's clock is slower than real time; zero means 1.
 	ClockSlowdown float64
-	// KillDelay is how long runs go on after the lease has lapsed.
-	KillDelay time.Duration
 
 	mu          sync.Mutex
 	started     clock.Instant
 	epoch       int64
-	leaseEnd    time.Duration   // On the executor's clock.
-	running     map[string]*run // By task.
+	leaseEnd    time.Duration // On the executor's clock.
+	running     map[runName]*run
 	highestRun  map[string]int  // The highest run that ended or was stopped, by task.
 	ended       []host.Ended    // Not acknowledged yet.
 	lastEnd     uint64          // The number of the last run that ended.
@@ -60,18 +62,25 @@
 	Lifetime host.Lifetime
 	Task     string
 	Run      int
-	Number   uint64 // As in host.Ended; zero if the executor crashed.
+	Number   uint64 // As in host.Ended; zero if the executor crashed or the run has not ended.
 	From, To clock.Instant
-	End      host.End
+	End      host.End // Zero if the run has not ended; then To is now.
+}
+
+// runName names a run. A worker that is told to may run two of one task at once.
+type runName struct {
+	task   string
+	number int
 }
 
 // run is a running task.
 type run struct {
-	number    int
 	resources workflow.Resources
 	started   clock.Instant
 	duration  time.Duration
 	hungSince clock.Instant // Zero if the run isn't hanging.
+	stopEnd   clock.Instant // When it will have been stopped; zero if it isn't being stopped.
+	stopAs    host.End      // How it ends then.
 }
 
 // worked returns the time for which the run has made progress.
@@ -154,12 +163,24 @@
 	e.advance()
 	var out []string
 	for name := range e.running {
-		out = append(out, name)
+		out = append(out, name.task)
 	}
 	slices.Sort(out)
 	return out
 }
 
+// runningSpans returns the runs that have not ended.
+func (e *Executor) runningSpans() []ExecutorSpan {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.advance()
+	var out []ExecutorSpan
+	for name, r := range e.running {
+		out = append(out, ExecutorSpan{Lifetime: e.Lifetime, Task: name.task, Run: name.number, From: r.started, To: clock.Now()})
+	}
+	return out
+}
+
 // Clock returns the time on the executor's clock.
 func (e *Executor) Clock() time.Duration {
 	e.mu.Lock()
@@ -172,7 +193,7 @@
 func (e *Executor) clock() time.Duration {
 	if e.started == 0 {
 		e.started = clock.Now().Add(-time.Second)
-		e.running = make(map[string]*run)
+		e.running = make(map[runName]*run)
 		e.highestRun = make(map[string]int)
 	}
 	d := clock.Since(e.started)
@@ -182,8 +203,8 @@
 	return d
 }
 
-// advance ends the runs that have finished or whose lease has lapsed, as of the time when that
-// happened. The caller holds the lock.
+// advance ends the runs that have finished, have been stopped, or whose lease has lapsed, as of the time
+// when that happened. The caller holds the lock.
 func (e *Executor) advance() {
 	e.clock() // Sets started on the first call.
 	now := clock.Now()
@@ -198,29 +219,45 @@
 		if r.hungSince != 0 {
 			done = now + 1
 		}
+		if lapse < now && lapse < done {
+			e.stopRun(r, lapse, host.Lapsed)
+		}
+		stopped := r.stopEnd != 0 && (r.stopEnd <= done || r.stopAs == host.Lapsed)
 		switch {
-		case done <= now && done <= lapse && e.failing:
+		case stopped && r.stopEnd <= now:
+			e.end(name, r, r.stopAs, r.stopEnd)
+		case stopped || done > now:
+		case e.failing:
 			e.end(name, r, host.Failed, done)
-		case done <= now && done <= lapse:
+		default:
 			e.end(name, r, host.Done, done)
-		case lapse.Add(e.KillDelay) < now:
-			e.end(name, r, host.Lapsed, lapse.Add(e.KillDelay))
 		}
 	}
 }
 
+// stopRun begins to stop a run unless it is being stopped. The caller holds the lock.
+func (e *Executor) stopRun(r *run, at clock.Instant, as host.End) {
+	if r.stopEnd != 0 {
+		return
+	}
+	r.stopEnd, r.stopAs = at, as
+	if e.StopTime != nil {
+		r.stopEnd = at.Add(e.StopTime())
+	}
+}
+
 // end ends a run and lists it until it is acknowledged. The caller holds the lock.
-func (e *Executor) end(name string, r *run, end host.End, at clock.Instant) {
+func (e *Executor) end(name runName, r *run, end host.End, at clock.Instant) {
 	delete(e.running, name)
-	e.highestRun[name] = max(e.highestRun[name], r.number)
+	e.highestRun[name.task] = max(e.highestRun[name.task], name.number)
 	e.lastEnd++
-	e.ended = append(e.ended, host.Ended{Number: e.lastEnd, Task: name, Run: r.number, End: end})
+	e.ended = append(e.ended, host.Ended{Number: e.lastEnd, Task: name.task, Run: name.number, End: end})
 	e.report(name, r, e.lastEnd, end, at)
 }
 
-func (e *Executor) report(name string, r *run, number uint64, end host.End, at clock.Instant) {
+func (e *Executor) report(name runName, r *run, number uint64, end host.End, at clock.Instant) {
 	if e.OnRunEnded != nil {
-		e.OnRunEnded(ExecutorSpan{e.Lifetime, name, r.number, number, r.started, at, end})
+		e.OnRunEnded(ExecutorSpan{e.Lifetime, name.task, name.number, number, r.started, at, end})
 	}
 }
 
@@ -320,9 +357,9 @@
 	}
 	for name, r := range e.running {
 		percent := int(100 * r.worked() / max(1, r.duration))
-		state.Running = append(state.Running, host.Running{Task: name, Run: r.number, Checkpoint: e.Checkpoint, Percent: percent})
+		state.Running = append(state.Running, host.Running{Task: name.task, Run: name.number, Checkpoint: e.Checkpoint, Percent: percent})
 	}
-	slices.SortFunc(state.Running, func(a, b host.Running) int { return strings.Compare(a.Task, b.Task) })
+	slices.SortFunc(state.Running, func(a, b host.Running) int { return cmp.Or(strings.Compare(a.Task, b.Task), a.Run-b.Run) })
 	return state, true, nil
 }
 
@@ -336,7 +373,8 @@
 		return err
 	}
 	resources, duration := e.Requirements(s.Task)
-	if r, ok := e.running[s.Task]; ok && r.number == s.Run {
+	name := runName{s.Task, s.Run}
+	if _, ok := e.running[name]; ok {
 		return nil
 	}
 	used := workflow.Resources{}
@@ -352,7 +390,7 @@
 		return fmt.Errorf("standin.Executor: %w: no room", host.ErrRefused)
 	}
 	e.extendLease(s.LeaseEnd)
-	e.running[s.Task] = &run{number: s.Run, resources: resources, started: clock.Now(), duration: duration}
+	e.running[name] = &run{resources: resources, started: clock.Now(), duration: duration}
 	if e.OnRunStarted != nil {
 		e.OnRunStarted(s.Task, s.Run)
 	}
@@ -369,8 +407,11 @@
 		return err
 	}
 	e.highestRun[s.Task] = max(e.highestRun[s.Task], s.Run)
-	if r, ok := e.running[s.Task]; ok && r.number <= s.Run {
-		e.end(s.Task, r, host.Stopped, clock.Now())
+	for name, r := range e.running {
+		if name.task == s.Task && name.number <= s.Run {
+			e.stopRun(r, clock.Now(), host.Stopped)
+		}
 	}
+	e.advance() // Ends those that stop at once.
 	return nil
 }
--- a/internal/standin/runchecker.go
+++ b/internal/standin/runchecker.go
@@ -42,18 +42,24 @@
 	return slices.Clone(c.executors)
 }
 
-// endedSpans returns the spans of the runs that have ended by now, by task and each task's oldest first.
-func (c *RunChecker) endedSpans() map[string][]ExecutorSpan {
+// allSpans returns the spans of all runs until now, by task and each task's oldest first. A run that is being
+// stopped has not ended.
+func (c *RunChecker) allSpans() map[string][]ExecutorSpan {
+	var running []ExecutorSpan
 	for _, e := range c.watched() {
-		e.Running() // Ends the runs that are over by now.
+		running = append(running, e.runningSpans()...) // Ends the runs that are over by now.
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	out := make(map[string][]ExecutorSpan, len(c.spans))
 	for task, spans := range c.spans {
-		spans = slices.Clone(spans)
+		out[task] = slices.Clone(spans)
+	}
+	for _, s := range running {
+		out[s.Task] = append(out[s.Task], s)
+	}
+	for _, spans := range out {
 		slices.SortFunc(spans, func(a, b ExecutorSpan) int { return int(a.From - b.From) })
-		out[task] = spans
 	}
 	return out
 }
@@ -74,22 +80,17 @@
 		t, err := clusterstate.ParseTaskID(task)
 		return err == nil && t.Job == job
 	}
-	for task := range c.endedSpans() {
+	for task := range c.allSpans() {
 		if inJob(task) {
 			return true
 		}
 	}
-	for _, e := range c.watched() {
-		if slices.ContainsFunc(e.Running(), inJob) {
-			return true
-		}
-	}
 	return false
 }
 
 // Done reports whether a run of the task has ended as done.
 func (c *RunChecker) Done(task string) bool {
-	return slices.ContainsFunc(c.endedSpans()[task], func(s ExecutorSpan) bool { return s.End == host.Done })
+	return slices.ContainsFunc(c.allSpans()[task], func(s ExecutorSpan) bool { return s.End == host.Done })
 }
 
 // Violations returns an error for each task that ran twice at the same time, that was started again
@@ -97,13 +98,14 @@
 // started before the first step was done.
 func (c *RunChecker) Violations() []error {
 	var out []error
-	all := c.endedSpans()
+	all := c.allSpans()
 	for _, name := range slices.Sorted(maps.Keys(all)) {
 		spans := all[name]
 		for i, s := range spans[1:] {
 			previous := spans[i]
 			if s.From < previous.To {
-				out = append(out, fmt.Errorf("%s ran twice at once: run %d until %v, run %d from %v", name, previous.Run, previous.To, s.Run, s.From))
+				out = append(out, fmt.Errorf("%s ran twice at once: run %d on %v until %v (end %d), run %d on %v from %v",
+					name, previous.Run, previous.Lifetime, previous.To, previous.End, s.Run, s.Lifetime, s.From))
 			}
 			if previous.End == host.Done && c.ackedInTime(previous) {
 				out = append(out, fmt.Errorf("%s was started again (run %d) after run %d had ended as done", name, s.Run, previous.Run))
