--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -644,6 +644,7 @@
 			return step.Resources, step.Estimate
 		},
 		OnRunStarted: c.runs.record,
+		StopTime:     func() time.Duration { return options.StopTimeout },
 	}
 	c.setUpExecutor(e)
 	return e
