host: a start that is delivered twice has one result

If an order reached its agent twice, each delivery was carried out and answered for itself. The first could be refused, as the worker didn't answer or the lease was about to end, and the second start the run, or the other way round. A planner that got the refusal took the run as over, and started the task elsewhere at once while the first run went on. In the logs that looks as in the users' record of two runs at once: a run that was refused and comes nevertheless. That an order was delivered twice there isn't shown, and no HTTP client in use repeats a POST of which anything was written.

TestRepeatedOrderHasOneResult failed in both of its cases: refused and then started, and started and then refused.

Now the agent keeps the results of the starts of the last lease, and answers a start that is delivered again with the result of the first one. Later ones are refused as too old, as before.

--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -15,6 +15,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
 
 	"sniperill.example/sniperill/internal/clock"
 	"sniperill.example/sniperill/internal/clusterstate"
@@ -375,7 +376,7 @@
 // until ctx ends.
 func (t *agentTable) get(ctx context.Context, address string) (*host.Agent, error) {
 	t.mu.Lock()
-	a := t.agents[address]
+	a := t.agents[strings.Replace(address, ":7190", ":7180", 1)]
 	if f, ok := t.choices[address]; ok {
 		a = f()
 	}
@@ -403,7 +404,9 @@
 		return nil, err
 	}
 	if c.table.takeThawed(c.address) {
-		r.Msg.Wait = nil
+		m := proto.Clone(r.Msg).(*pb.WatchRequest) // The call may arrive twice.
+		m.Wait = nil
+		r = connect.NewRequest(m)
 	}
 	return a.Watch(ctx, r)
 }
@@ -428,7 +431,7 @@
 
 // Watch removes what agents of earlier versions don't say.
 func (c versionedClient) Watch(ctx context.Context, r *connect.Request[pb.WatchRequest]) (*connect.Response[pb.WatchResponse], error) {
-	resp, err := carry(ctx, &c.cluster.network, func(ctx context.Context) (*connect.Response[pb.WatchResponse], error) {
+	resp, err := carryRepeated(ctx, &c.cluster.network, func(ctx context.Context) (*connect.Response[pb.WatchResponse], error) {
 		return c.agentClient.Watch(ctx, r)
 	})
 	if _, earlier := c.cluster.earlierAgents.Load(c.address); earlier && err == nil {
@@ -440,11 +443,11 @@
 // Order answers for an agent of an earlier version: a stopped run that the worker doesn't list right after the
 // stop is absent.
 func (c versionedClient) Order(ctx context.Context, r *connect.Request[pb.OrderRequest]) (*connect.Response[pb.OrderResponse], error) {
-	return carry(ctx, &c.cluster.network, func(ctx context.Context) (*connect.Response[pb.OrderResponse], error) {
-		_, earlier := c.cluster.earlierAgents.Load(c.address)
-		if earlier {
-			r.Msg.StoredEnd = 0 // Not known to such an agent.
-		}
+	_, earlier := c.cluster.earlierAgents.Load(c.address)
+	if earlier {
+		r.Msg.StoredEnd = 0 // Not known to such an agent.
+	}
+	return carryRepeated(ctx, &c.cluster.network, func(ctx context.Context) (*connect.Response[pb.OrderResponse], error) {
 		resp, err := c.agentClient.Order(ctx, r)
 		if err != nil || !earlier {
 			return resp, err
@@ -470,7 +473,9 @@
 
 // agentAt returns the agent at an address.
 func (c *cluster) agentAt(address string) *agent {
-	return c.agents[slices.IndexFunc(c.agents, func(a *agent) bool { return agentAddress(a.name) == address })]
+	return c.agents[slices.IndexFunc(c.agents, func(a *agent) bool {
+		return agentAddress(a.name) == address || otherAddress(a.name) == address
+	})]
 }
 
 // maxLease is the longest lease that a worker takes.
@@ -616,6 +621,9 @@
 // agentAddress returns the address of the process with a name.
 func agentAddress(name string) string { return name + ":7180" }
 
+// otherAddress returns the second address of the process with a name.
+func otherAddress(name string) string { return name + ":7190" }
+
 // register writes a process's address, and retries for as long as the store is unavailable.
 func register(ctx context.Context, w *journal.Writer, r journal.Record) {
 	for {
--- a/internal/dispatch/network_test.go
+++ b/internal/dispatch/network_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"sniperill.example/sniperill/internal/clock"
+	"sniperill.example/sniperill/internal/clusterstate"
+	"sniperill.example/sniperill/internal/journal"
 	"sniperill.example/sniperill/internal/standin"
 	"sniperill.example/sniperill/pkg/shop"
 )
@@ -20,8 +22,9 @@
 
 // network delays and loses calls and their answers at random. The zero value does neither.
 type network struct {
-	mu     sync.Mutex
-	random *rand.Rand // Nil while calls are neither delayed nor lost.
+	mu      sync.Mutex
+	random  *rand.Rand // Nil while calls are neither delayed nor lost.
+	repeats bool       // Some calls arrive twice.
 }
 
 // setRandom sets the source of delays and losses; nil ends them.
@@ -37,6 +40,13 @@
 	return n.random != nil
 }
 
+// drawRepeat returns whether a call arrives twice.
+func (n *network) drawRepeat() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.repeats && n.random != nil && n.random.IntN(10) == 0
+}
+
 // errLost is returned for a call whose answer is lost.
 var errLost = errors.New("no answer")
 
@@ -97,10 +107,56 @@
 	}
 }
 
+// carryRepeated makes a call over the network, at times twice. The caller gets the answer that comes first.
+func carryRepeated[T any](ctx context.Context, n *network, call func(context.Context) (T, error)) (T, error) {
+	if !n.drawRepeat() {
+		return carry(ctx, n, call)
+	}
+	type outcome struct {
+		value T
+		err   error
+	}
+	done := make(chan outcome, 2)
+	for range 2 {
+		go func() {
+			value, err := carry(ctx, n, call)
+			done <- outcome{value, err}
+		}()
+	}
+	o := <-done
+	if o.err != nil {
+		o = <-done
+	}
+	return o.value, o.err
+}
+
 // Messages between planners, agents and workers are delayed, lost and overtake each other, workers list their
 // ended runs a few at a time without saying so, some agents are of an earlier version, and planners are killed
 // as runs end. No task runs twice at once or after its end was acknowledged, and every job is done.
 func TestRunsEndOnceOnUnreliableNetwork(t *testing.T) {
+	testUnreliableNetwork(t, func(*cluster, *rand.Rand) {})
+}
+
+// In addition, calls to agents arrive twice, and agents' addresses change while calls are on their way.
+func TestRunsEndOnceWhenCallsAreRepeated(t *testing.T) {
+	testUnreliableNetwork(t, func(c *cluster, random *rand.Rand) {
+		c.network.repeats = true
+		for _, a := range c.agents {
+			writer := &journal.Writer{Store: c.store.Journal(), Producer: journal.Producer{Name: a.name + "/moves", Epoch: 1}, Log: c.log}
+			go writer.Run(c.ctx)
+			moves := rand.New(rand.NewPCG(random.Uint64(), 2))
+			go func() {
+				for i := 0; clock.Pause(c.ctx, time.Duration(moves.IntN(6000))*time.Millisecond) == nil; i++ {
+					address := []string{agentAddress(a.name), otherAddress(a.name)}[i%2]
+					register(c.ctx, writer, clusterstate.AgentRecord(clusterstate.Address{Name: a.name, Address: address}))
+				}
+			}()
+		}
+	})
+}
+
+// testUnreliableNetwork runs jobs on an unreliable network, on which disrupt adds to what goes wrong.
+func testUnreliableNetwork(t *testing.T, disrupt func(*cluster, *rand.Rand)) {
 	for seed := range uint64(*networkSeeds) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			withVirtualTime(t, func(t *testing.T) {
@@ -115,6 +171,7 @@
 				c.earlierAgents.Store(agentAddress(earlier), true)
 				time.Sleep(3 * time.Second)
 				c.network.setRandom(rand.New(rand.NewPCG(seed, 1)))
+				disrupt(c, rand.New(rand.NewPCG(seed, 2)))
 				var jobs []string
 				for i := range 8 {
 					id := fmt.Sprint("job", i)
--- a/internal/host/handler.go
+++ b/internal/host/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -11,6 +12,7 @@
 	"connectrpc.com/connect"
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"sniperill.example/sniperill/internal/clock"
@@ -143,6 +145,57 @@
 	return strings.ToLower(strings.TrimPrefix(o.String(), "OUTCOME_"))
 }
 
+// deliveries has the newest starts that were delivered to the agent.
+type deliveries map[delivery]*deliveryResult
+
+// delivery names a start of a planner, which sends it only once.
+type delivery struct {
+	lifetime string
+	epoch    int64
+	run      taskRun
+}
+
+// deliveryResult is the result of a start.
+type deliveryResult struct {
+	deliveredAt clock.Instant
+	done        chan struct{} // Closed when result is set.
+	result      *pb.OrderResult
+}
+
+// startFirst carries out a start the first time that it is delivered. Should it be delivered again, it returns
+// the same result: the planner may get either answer, and takes a refused run as over.
+func (a *Agent) startFirst(ctx context.Context, m *pb.OrderRequest, o *pb.StartTask) *pb.OrderResult {
+	d, first := a.addDelivery(delivery{m.GetLifetime(), m.GetEpoch(), taskRun{o.GetTask(), int(o.GetRun())}})
+	if first {
+		d.result = a.startTask(ctx, m, o)
+		close(d.done)
+	}
+	select {
+	case <-d.done:
+		return proto.Clone(d.result).(*pb.OrderResult)
+	case <-ctx.Done():
+		return &pb.OrderResult{Task: o.GetTask(), Run: o.GetRun(), Detail: "delivered again before it was answered"}
+	}
+}
+
+// addDelivery adds a delivery, and returns its result and whether it is the first one.
+func (a *Agent) addDelivery(d delivery) (r *deliveryResult, first bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := clock.Now()
+	// A start that is delivered later is refused as too old, see orderLapsed.
+	maps.DeleteFunc(a.deliveries, func(_ delivery, r *deliveryResult) bool { return now > r.deliveredAt.Add(a.MaxLease) })
+	if r, ok := a.deliveries[d]; ok {
+		return r, false
+	}
+	if a.deliveries == nil {
+		a.deliveries = make(deliveries)
+	}
+	r = &deliveryResult{deliveredAt: now, done: make(chan struct{})}
+	a.deliveries[d] = r
+	return r, true
+}
+
 // Order starts and stops tasks.
 func (a *Agent) Order(ctx context.Context, req *connect.Request[pb.OrderRequest]) (*connect.Response[pb.OrderResponse], error) {
 	m := req.Msg
@@ -157,7 +210,7 @@
 	group.SetLimit(maxParallelCalls)
 	for i, o := range m.GetStarts() {
 		group.Go(func() error {
-			results[i] = a.startTask(ctx, m, o)
+			results[i] = a.startFirst(ctx, m, o)
 			return nil
 		})
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -80,6 +80,7 @@
 	// lifetimeReport is the newest report that was sent before the current lifetime was set.
 	lifetimeReport uint64
 	lease          lease
+	deliveries     deliveries
 }
 
 // taskRun names a run.
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -808,3 +808,38 @@
 		})
 	}
 }
+
+// An order is delivered twice, and what it asks for is refused once only by then. Whichever answer the planner
+// gets, it must be true.
+func TestRepeatedOrderHasOneResult(t *testing.T) {
+	drain := func(f *fixture) {
+		hb := f.executor.Heartbeat("s", "r1-1", 2)
+		hb.Draining, hb.DrainRemaining = true, time.Minute
+		f.heartbeat(hb)
+	}
+	tests := []struct {
+		name          string
+		before, after func(*fixture) // Called before the first delivery, and before the second one.
+		want          pb.Outcome
+	}{
+		{"refused at first", func(*fixture) {}, func(f *fixture) { f.renewFor(3 * time.Second) }, pb.Outcome_OUTCOME_REFUSED},
+		{"started at first", func(f *fixture) { f.renewFor(3 * time.Second) }, drain, pb.Outcome_OUTCOME_STARTED},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t)
+				tt.before(f)
+				first := f.start("t")
+				tt.after(f)
+				second := f.start("t")
+				if first != tt.want || second != tt.want {
+					t.Errorf("start: %v, then %v, want %v twice", first, second, tt.want)
+				}
+				if started := len(f.executor.Running()) > 0; started != (tt.want == pb.Outcome_OUTCOME_STARTED) {
+					t.Errorf("after the outcome %v, the worker runs %v", tt.want, f.executor.Running())
+				}
+			})
+		})
+	}
+}
