dispatch: a report from an agent's earlier address changes nothing

When an agent registers another address, the planner cancels the calls to the earlier one. A report that had arrived by then, but waited for the planner's lock or its processor, was still applied, after newer ones from the next address. If it said that the worker's lifetime was over, as its lease had lapsed, and the worker had gone on in it since, runs that had started in it meanwhile were over for the planner and started again. How long such a report can wait in a planner that is not held up on purpose wasn't measured.

TestReportFromEarlierAddressEndsNoRuns failed before: "task a.0.0.0 was started 2 times, want 1", as "the worker's lifetime is over" and then "Stopping a run that is not claimed". Now such a report is dropped.

--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -280,6 +280,28 @@
 	held   map[string]*heldOrder
 	// choices has the functions that choose the process for a call to an address with several.
 	choices map[string]func() *host.Agent
+	// late has, by address, what the planner's handling of reports from there waits for.
+	late map[string]chan struct{}
+}
+
+// delayReports makes the planner handle reports from an address only once the channel is closed.
+func (t *agentTable) delayReports(address string, until chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.late == nil {
+		t.late = make(map[string]chan struct{})
+	}
+	t.late[address] = until
+}
+
+// awaitHandling returns when the planner handles a report from an address.
+func (t *agentTable) awaitHandling(address string) {
+	t.mu.Lock()
+	until := t.late[address]
+	t.mu.Unlock()
+	if until != nil {
+		<-until
+	}
 }
 
 // choose makes a function choose which process gets each call to an address.
@@ -434,6 +456,7 @@
 	resp, err := carryRepeated(ctx, &c.cluster.network, func(ctx context.Context) (*connect.Response[pb.WatchResponse], error) {
 		return c.agentClient.Watch(ctx, r)
 	})
+	c.table.awaitHandling(c.address)
 	if _, earlier := c.cluster.earlierAgents.Load(c.address); earlier && err == nil {
 		resp.Msg.MoreEnded = false
 	}
--- a/internal/dispatch/identity_test.go
+++ b/internal/dispatch/identity_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"sniperill.example/sniperill/internal/clusterstate"
+	"sniperill.example/sniperill/internal/journal"
 	"sniperill.example/sniperill/internal/standin"
 	"sniperill.example/sniperill/pkg/shop"
 )
@@ -47,3 +49,30 @@
 		})
 	}
 }
+
+// A report that says that a lifetime is over is handled only when the agent has another address, where it has
+// reported that the worker goes on. It ends no run that has started since.
+func TestReportFromEarlierAddressEndsNoRuns(t *testing.T) {
+	withVirtualTime(t, func(t *testing.T) {
+		c := newCluster(t, 1, 1)
+		checker := c.watchRuns()
+		time.Sleep(3 * time.Second)
+		a, planner := c.agents[0], c.planner()
+		a.machine.Executor().Silence(true)
+		time.Sleep(11 * time.Second)
+		handled := make(chan struct{})
+		planner.agents.delayReports(agentAddress(a.name), handled)
+		time.Sleep(5 * time.Second)
+		a.machine.Executor().Silence(false)
+		writer := &journal.Writer{Store: c.store.Journal(), Producer: journal.Producer{Name: "moved", Epoch: 1}, Log: c.log}
+		go writer.Run(c.ctx)
+		register(c.ctx, writer, clusterstate.AgentRecord(clusterstate.Address{Name: a.name, Address: otherAddress(a.name)}))
+		time.Sleep(3 * time.Second)
+		c.submit("a", "red", "batch", task(5, 8))
+		time.Sleep(2 * time.Second)
+		close(handled)
+		c.await(20*time.Second, shop.Done, "a")
+		c.checkStartedOnce("a.0.0.0")
+		c.reportViolations(checker)
+	})
+}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -200,7 +200,9 @@
 			ap.Log.Info().Str("node", w.name).Msg("An agent is back.")
 		}
 		ap.mu.Lock()
-		ap.applyReport(w, resp.Msg, sent)
+		if ctx.Err() == nil { // Otherwise reports from the agent's next address may have been applied.
+			ap.applyReport(w, resp.Msg, sent)
+		}
 		ap.mu.Unlock()
 		ap.wake()
 	}
