dispatch: a lifetime without contact is over by the newest report, also if there is no other

Two faults in judging a lifetime that its restarted agent doesn't report:

- The planner took it as over one lease after the first report that named another, by the time.
The agent may have renewed its lease right after its newest report: when a sound worker was confirmed just as the reports stopped coming, its task ran elsewhere for 2 s beside it.
Now the newest report has to have been asked for after that time.
The count starts anew with each incarnation of the agent, as the one before may have renewed the lease.
- If the agent reported no lifetime, or one in which the worker never answered, the lifetime was never over, and what the planner had running there stayed running for good.
That is when a worker ends while its agent restarts.
The rule now holds for these, too.
As the planner may so give up orders of a lifetime before the worker has answered in it, agents refuse starts that were ordered before the first answer; the planner hears of it at once.

Failed before: TestLeaseIsRenewedAfterReportWithoutLifetime with 'a.0.0.0 ran twice at once' (also with the time in place of the newest report in the new rule), TestTasksOfWorkerUnknownToItsAgentRunElsewhere in both cases with 'after 25s: a is "running", want "done"', TestStartsOrderedBeforeFirstAnswerAreRefused with 'OUTCOME_STARTED, want refused'. They pass now, as do the tests of host and dispatch.

--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -76,6 +76,7 @@
 	machine    standin.Machine
 	kill       context.CancelFunc
 	heartbeats atomic.Int64
+	mute       atomic.Bool                      // The worker sends no heartbeats.
 	network    *network                         // Between the process and the worker.
 	polled     atomic.Pointer[standin.Executor] // The one to which the connection for polls is open.
 	// beforeStart, if set, is called with each start before it reaches the worker.
@@ -84,9 +85,7 @@
 	answerStart func(error) error
 	// refuseStop, if set, returns an error for a stop that doesn't reach the worker.
 	refuseStop func() error
-	// beforeHeartbeats, if set, is called before the first heartbeat that reaches a new process.
-	beforeHeartbeats func(*host.Agent)
-	thawed           atomic.Pointer[chan struct{}] // Closed when polls of a frozen agent make progress again.
+	thawed     atomic.Pointer[chan struct{}] // Closed when polls of a frozen agent make progress again.
 }
 
 // freeze stops an agent's process for d. When it goes on, it answers the planner before it has polled
@@ -694,13 +693,11 @@
 	a.kill = kill
 	agent := a.process
 	go agent.Run(running)
-	before := a.beforeHeartbeats
 	go func() {
-		if before != nil {
-			before(agent)
-		}
 		for running.Err() == nil {
-			_ = agent.Heartbeat(running, a.machine.Executor().Heartbeat("s", rack, a.heartbeats.Add(1)))
+			if !a.mute.Load() {
+				_ = agent.Heartbeat(running, a.machine.Executor().Heartbeat("s", rack, a.heartbeats.Add(1)))
+			}
 			if clock.Pause(running, 1500*time.Millisecond) != nil {
 				return
 			}
--- a/internal/dispatch/foreign_test.go
+++ b/internal/dispatch/foreign_test.go
@@ -33,17 +33,15 @@
 				c.submit("a", "red", "batch", task(20, 8))
 				time.Sleep(time.Second)
 				a := c.agents[0]
-				a.kill()
-				a.beforeHeartbeats = func(process *host.Agent) {
-					stray := standin.Executor{Lifetime: tt.lifetime, Resources: workflow.Resources{MilliCores: 1000, MemoryMB: 1000}}
-					if err := process.Heartbeat(c.ctx, stray.Heartbeat("s", "r1-0", 7)); err != nil {
-						t.Error(err)
-					}
-					time.Sleep(2 * time.Second)
-				}
 				a.machine.Executor().Silence(tt.silent)
-				c.startAgentProcess(a, "r1-0")
-				time.Sleep(4 * time.Second)
+				c.restartAgent(a)
+				stray := standin.Executor{Lifetime: tt.lifetime, Resources: workflow.Resources{MilliCores: 1000, MemoryMB: 1000}}
+				if err := a.process.Heartbeat(c.ctx, stray.Heartbeat("s", "r1-0", 7)); err != nil {
+					t.Error(err)
+				}
+				time.Sleep(2 * time.Second)
+				a.mute.Store(false)
+				time.Sleep(2 * time.Second)
 				a.machine.Executor().Silence(false)
 				c.await(60*time.Second, shop.Done, "a")
 				c.checkStartedOnce("a.0.0.0")
--- /dev/null
+++ b/internal/dispatch/lifetime_test.go
@@ -0,0 +1,86 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"sniperill.example/sniperill/internal/host"
+	"sniperill.example/sniperill/pkg/shop"
+)
+
+// restartAgent restarts the agent process of a worker whose own heartbeats don't reach it.
+func (c *cluster) restartAgent(a *agent) {
+	a.kill()
+	a.mute.Store(true)
+	c.startAgentProcess(a, "r1-0")
+}
+
+// connect makes an agent reachable for all entries, or not.
+func (c *cluster) connect(a *agent, connected bool) {
+	for _, e := range c.entries {
+		if connected {
+			e.agents.set(agentAddress(a.name), a.process)
+		} else {
+			e.agents.set(agentAddress(a.name), nil)
+		}
+	}
+}
+
+// A restarted agent is in contact with no lifetime at first, and renews the lease of the worker's own right after
+// its last report that reaches the planner. The planner must count the lease from that report.
+func TestLeaseIsRenewedAfterReportWithoutLifetime(t *testing.T) {
+	withVirtualTime(t, func(t *testing.T) {
+		c := newCluster(t, 2, 2)
+		checker := c.watchRuns()
+		time.Sleep(3 * time.Second)
+		c.submit("a", "red", "batch", task(30, 8))
+		time.Sleep(time.Second)
+		a := c.agents[0]
+		c.restartAgent(a)
+		odd := a.machine.Executor().Heartbeat("s", "r1-0", 1)
+		odd.Lifetime = host.Lifetime{ID: "other"}
+		if err := a.process.Heartbeat(c.ctx, odd); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(4 * time.Second)
+		c.connect(a, false)
+		time.Sleep(1500 * time.Millisecond) // The Watch call in progress ends.
+		if err := a.process.Heartbeat(c.ctx, a.machine.Executor().Heartbeat("s", "r1-0", 100)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(9 * time.Second)
+		c.connect(a, true)
+		c.await(60*time.Second, shop.Done, "a")
+		c.reportViolations(checker)
+	})
+}
+
+// A worker ends for good while its agent restarts, which never has contact with the worker's lifetime. What ran there
+// runs elsewhere once its lease has lapsed.
+func TestTasksOfWorkerUnknownToItsAgentRunElsewhere(t *testing.T) {
+	for _, tt := range []struct {
+		name      string
+		announced bool // A last heartbeat reaches the restarted agent.
+	}{{"no heartbeat", false}, {"a last heartbeat", true}} {
+		t.Run(tt.name, func(t *testing.T) {
+			withVirtualTime(t, func(t *testing.T) {
+				c := newCluster(t, 2, 2)
+				checker := c.watchRuns()
+				time.Sleep(3 * time.Second)
+				c.submit("a", "red", "batch", task(5, 8))
+				time.Sleep(time.Second)
+				a := c.agents[0]
+				last := a.machine.Executor().Heartbeat("s", "r1-0", 100)
+				a.machine.Executor().Crash()
+				c.restartAgent(a)
+				if tt.announced {
+					if err := a.process.Heartbeat(c.ctx, last); err != nil {
+						t.Fatal(err)
+					}
+				}
+				c.await(25*time.Second, shop.Done, "a")
+				c.reportViolations(checker)
+			})
+		})
+	}
+}
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -182,8 +182,8 @@
 		switch {
 		case m.worker.lifetimeEnded(m.lifetime) && !m.stopInCurrentLifetime():
 			ap.runEnded(m, 0, "", "the worker's lifetime is over")
-		case !m.mayRunIn(m.worker.lifetime) && ap.replacedForLease(m.worker, m.lifetime, now):
-			ap.runEnded(m, 0, "", "the worker has been in another lifetime for a full lease")
+		case ap.notRenewed(m):
+			ap.runEnded(m, 0, "", "its agent has not renewed the lease of the lifetime for longer than it lasts")
 		case now > ap.leaseEnd(m.worker):
 			ap.runEnded(m, 0, "", "the worker's lease has lapsed")
 		case m.status != stopping && m.job.final():
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -11,11 +11,14 @@
 
 // applyReport applies an agent's report, given when it was asked for.
 func (ap *activePlanner) applyReport(w *worker, m *pb.WatchResponse, asked clock.Instant) {
-	if w.agentIncarnation != "" && w.agentIncarnation != m.GetAgentLife() {
-		w.otherLeaseEnd = ap.leaseEndAfter(w.receivedAt)
-	}
-	w.agentIncarnation, w.reportNumber, w.reportVersion = m.GetAgentLife(), m.GetReport(), m.GetVersion()
 	now := clock.Now()
+	if m.GetAgentLife() != w.agentIncarnation { // The process before may have renewed any lease until now.
+		if w.agentIncarnation != "" {
+			w.otherLeaseEnd = ap.leaseEndAfter(w.receivedAt)
+		}
+		w.lifetimeSince = now
+	}
+	w.agentIncarnation, w.reportNumber, w.reportVersion, w.askedAt = m.GetAgentLife(), m.GetReport(), m.GetVersion(), asked
 	// An agent that was silent may have been frozen, and reports what it knew before.
 	observed := min(now.Sub(w.receivedAt), maxReportInterval)
 	w.receivedAt = now
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -61,8 +61,9 @@
 	reportVersion    uint64
 	receivedAt       clock.Instant // When the newest report arrived; zero before the first.
 	lifetime         string
-	lifetimeSince    clock.Instant // When it was first reported.
-	answered         bool          // The worker has answered in that lifetime.
+	lifetimeSince    clock.Instant // When this incarnation of the agent first reported it.
+	answered         bool          // The worker has answered its agent in it.
+	askedAt          clock.Instant // When the newest report was asked for.
 	hardware         workflow.Worker
 	zone             string
 	draining         bool
@@ -146,10 +147,18 @@
 	return err1 == nil && err2 == nil && now.StartedUnixMS > then.StartedUnixMS
 }
 
-// replacedForLease reports whether the worker has been in another lifetime for longer than any lease of
-// the given one, which nobody has renewed since.
-func (ap *activePlanner) replacedForLease(w *worker, lifetime string, now clock.Instant) bool {
-	return w.lifetime != "" && w.lifetime != lifetime && now > w.lifetimeSince.Add(ap.Lease+ap.StopTimeout+leaseSlack)
+// notRenewed reports whether the agent was in no contact with the lifetime of a member for longer than any lease,
+// so that nobody has renewed that one's. It may have been in contact since its newest report, and so that counts,
+// not the time. A member that may be running in a later lifetime is left to its stop there.
+func (ap *activePlanner) notRenewed(m *member) bool {
+	w := m.worker
+	switch {
+	case w.receivedAt == 0, w.lifetime == m.lifetime && w.answered:
+		return false
+	case m.laterLifetime != "" && m.laterLifetime == w.lifetime:
+		return false
+	}
+	return w.askedAt > w.lifetimeSince.Add(ap.Lease+ap.StopTimeout+leaseSlack)
 }
 
 // leaseEnd returns when the worker's lease has ended for certain. An older planner may have
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -77,7 +77,7 @@
 	// stops has when the worker had first accepted the stop of each run that is not known to be over.
 	stops          map[taskRun]clock.Instant
 	endedLifetimes []string
-	// lifetimeReport is the newest report that was sent before the current lifetime was set.
+	// lifetimeReport is the newest report that was sent before the worker answered in the current lifetime.
 	lifetimeReport uint64
 	lease          lease
 	deliveries     deliveries
@@ -380,6 +380,11 @@
 	if len(state.Ended) == 0 && !state.MoreEnded {
 		a.endsSeenUntil = max(a.endsSeenUntil, sent)
 	}
+	if a.polledAt == 0 {
+		// The planner may have given up what it ordered before the worker had answered in its lifetime.
+		a.lifetimeReport = a.lease.lastReport
+		notable = true
+	}
 	if sent >= a.polledAt {
 		a.polledAt = sent
 		notable = notable || runsDiffer(a.running, state.Running)
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -556,6 +556,31 @@
 	}
 }
 
+// Until the worker has answered a restarted agent, the planner may give up what it orders.
+func TestStartsOrderedBeforeFirstAnswerAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		f.executor.Silence(true)
+		f.renewFor(2 * time.Second)
+		before := &pb.OrderRequest{
+			AgentLife: "1", Report: f.lastReport.GetReport(), Grant: durationpb.New(lease),
+			Starts: []*pb.StartTask{{Task: "j.0.0.0", Run: 1}},
+		}
+		f.executor.Silence(false)
+		f.renewFor(2 * time.Second)
+		if got := f.order(before)[0].GetOutcome(); got != pb.Outcome_OUTCOME_REFUSED {
+			t.Errorf("start ordered before the worker answered: %v, want refused", got)
+		}
+		after := &pb.OrderRequest{
+			AgentLife: "1", Report: f.lastReport.GetReport(), Grant: durationpb.New(lease),
+			Starts: []*pb.StartTask{{Task: "j.0.0.0", Run: 2}},
+		}
+		if got := f.order(after)[0].GetOutcome(); got != pb.Outcome_OUTCOME_STARTED {
+			t.Errorf("start ordered since: %v, want started", got)
+		}
+	})
+}
+
 // A worker that was only silent goes on in its lifetime after its lease has lapsed. It must get tasks
 // again, but none that were ordered before.
 func TestWorkerIsUsedAgainAfterItsLeaseLapsed(t *testing.T) {
