host: a lapsed lease doesn't end what the worker's next lifetime has started

A worker restarted under its id while a start was on its way, which the new lifetime carried out, and its heartbeats didn't come. When the lease of the lifetime before had lapsed, the planner ran the task elsewhere beside it.

The lease end in the start is on the clock of the lifetime before; the new one, whose clock starts anew, allows for the longest lease instead, from when it carries the start out. Its polls show that it has another lifetime. From then on no start is sent, and the lapse now counts only after the longest lease, the stop timeout and 5 s for calls that are carried out late. A worker that announces its new lifetime, as it does each 1.5 s, is taken up as before.

--- a/internal/dispatch/lifetime_test.go
+++ b/internal/dispatch/lifetime_test.go
@@ -84,3 +84,25 @@
 		})
 	}
 }
+
+// A worker restarts under its id while a start is on its way, which the new lifetime carries out, and its heartbeats
+// don't arrive for longer than a lease. That the lease of the lifetime before has lapsed doesn't end what runs.
+func TestStartInUnannouncedLifetimeIsNotOver(t *testing.T) {
+	for offset := time.Duration(0); offset < 2*time.Second; offset += 100 * time.Millisecond {
+		t.Run(offset.String(), func(t *testing.T) {
+			withVirtualTime(t, func(t *testing.T) {
+				c := newCluster(t, 2, 2)
+				checker := c.watchRuns()
+				time.Sleep(3*time.Second + offset)
+				a := c.agents[0]
+				a.mute.Store(true)
+				c.restartAtNextStart(a, 2, checker)
+				c.submit("a", "red", "batch", task(20, 8))
+				time.Sleep(14 * time.Second)
+				a.mute.Store(false)
+				c.await(60*time.Second, shop.Done, "a")
+				c.reportViolations(checker)
+			})
+		})
+	}
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -34,6 +34,8 @@
 	// confirmTimeout bounds the second of these calls. A worker waits a second for the acknowledgement of its
 	// heartbeat.
 	confirmTimeout = 600 * time.Millisecond
+	// lateCallTimeout bounds how long after it was sent a worker carries out a call.
+	lateCallTimeout = 5 * time.Second
 	// maxEndedLifetimes bounds the list of ended lifetimes in a report; a worker seldom has two in
 	// a minute.
 	maxEndedLifetimes = 32
@@ -57,15 +59,18 @@
 	WorkerChanged func(workflow.Worker)
 	Log           zerolog.Logger
 
-	mu            sync.Mutex
-	changed       chan struct{} // Closed and replaced with each change.
-	version       uint64
-	epoch         int64
-	heartbeat     Heartbeat
-	lifetime      Lifetime
-	drainUntil    clock.Instant
-	leaving       bool // The worker has announced that it shuts down.
-	unreachable   bool
+	mu          sync.Mutex
+	changed     chan struct{} // Closed and replaced with each change.
+	version     uint64
+	epoch       int64
+	heartbeat   Heartbeat
+	lifetime    Lifetime
+	drainUntil  clock.Instant
+	leaving     bool // The worker has announced that it shuts down.
+	unreachable bool
+	// shownSince is when the worker first showed another lifetime, with the same id, than it had announced; zero
+	// if it doesn't.
+	shownSince    clock.Instant
 	polledAt      clock.Instant // When the poll that returned running was sent; zero before the first.
 	running       []Running
 	recentStarts  map[string]startedRun // Runs that may be newer than that poll, by task.
@@ -250,7 +255,7 @@
 // resetState drops what the worker reported in its last lifetime. The caller holds the lock.
 func (a *Agent) resetState() {
 	a.running, a.recentStarts, a.ended, a.moreEnded, a.lastStoredEnd, a.polledAt = nil, nil, nil, false, 0, 0
-	a.stops, a.endsSeenUntil = nil, 0
+	a.stops, a.endsSeenUntil, a.shownSince = nil, 0, 0
 	a.lease.reset()
 }
 
@@ -369,6 +374,7 @@
 	if state.Lifetime != a.lifetime.String() {
 		return state, a.lifetimeMismatch(state)
 	}
+	a.shownSince = 0
 	a.lease.updateClock(state.Clock, clock.Now(), a.MaxLease)
 	leaseRemaining.Update(max(0, a.lease.grantEnd.Sub(a.lease.clockReadAt)).Seconds())
 	notable := a.unreachable
@@ -403,6 +409,9 @@
 func (a *Agent) lifetimeMismatch(state WorkerState) error {
 	a.Log.Warn().Str("shown", state.Lifetime).Stringer("announced", a.lifetime).
 		Msg("The worker has another lifetime than it announced.")
+	if a.shownSince == 0 {
+		a.shownSince = clock.Now()
+	}
 	if !a.unreachable {
 		a.unreachable = true // The announced lifetime no longer answers.
 		a.notifyChange()
@@ -470,6 +479,17 @@
 	return false
 }
 
+// lapsedForCertain reports whether the lease of the current lifetime has lapsed, and that of the next one with
+// the same id for what was started in it on orders for the current one: there a lease end on the clock of the
+// current one allows for the longest lease. The caller holds the lock.
+func (a *Agent) lapsedForCertain(now clock.Instant) bool {
+	if !a.lease.lapsed(now, a.StopTimeout) {
+		return false
+	}
+	longest := time.Duration(float64(a.MaxLease) / minClockRate)
+	return a.shownSince == 0 || now > a.shownSince.Add(lateCallTimeout+longest+a.StopTimeout+leaseSlack)
+}
+
 // handlePollError handles a poll of a lifetime that failed, and marks the worker as unreachable. The lifetime
 // is taken as over if its lease has lapsed, unless the worker answered that it is unhealthy, or if the worker
 // has announced that it shuts down and nothing listens at its address any more. Another failure, such as
@@ -489,7 +509,7 @@
 	switch {
 	case a.leaving && errors.Is(err, ErrNotListening):
 		why = "it has left"
-	case !errors.Is(err, ErrUnhealthy) && a.lease.lapsed(clock.Now(), a.StopTimeout):
+	case !errors.Is(err, ErrUnhealthy) && a.lapsedForCertain(clock.Now()):
 		why = "its lease has lapsed"
 	default:
 		return
