host: a poll of an earlier lifetime says nothing about the current one

A poll that was in progress as the worker's next lifetime was taken up marked that one as unreachable when it failed, or when it was answered by the lifetime before under the same id; starts were refused until the next poll.

TestPollOfEarlierLifetimeIsIgnored fails without these checks in its three cases with 'the worker is reported as unreachable, but answers in its lifetime'. It passes now, as do the tests of host.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -371,8 +371,12 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if state.Lifetime != a.lifetime.String() {
+	switch current := a.lifetime.String(); {
+	case state.Lifetime == current:
+	case req.Lifetime == current:
 		return state, a.lifetimeMismatch(state)
+	default:
+		return state, ErrOtherLifetime // It says nothing about the current lifetime.
 	}
 	a.shownSince = 0
 	a.lease.updateClock(state.Clock, clock.Now(), a.MaxLease)
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -471,6 +471,45 @@
 	})
 }
 
+// A poll of the lifetime before ends once the worker is in the next one. It says nothing about that.
+func TestPollOfEarlierLifetimeIsIgnored(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		next string // The id of the next lifetime.
+		err  error  // With which the poll ends.
+	}{
+		{"it fails", "x", io.ErrUnexpectedEOF},
+		{"it fails, the same id", "w", io.ErrUnexpectedEOF},
+		{"it is answered, the same id", "w", nil},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t)
+				f.renewFor(time.Second)
+				f.setOnPoll(func(ctx context.Context, r host.PollRequest, poll pollFunc) (host.WorkerState, error) {
+					if r.Lifetime == "w@1" {
+						time.Sleep(time.Second)
+						return host.WorkerState{Lifetime: "w@1"}, tt.err
+					}
+					return poll(ctx, r)
+				})
+				time.Sleep(1500 * time.Millisecond) // Such a poll is in progress.
+				f.executor.Crash()
+				f.startExecutor(host.Lifetime{ID: tt.next, StartedUnixMS: 2})
+				f.heartbeat(f.executor.Heartbeat("s", "r1-1", 1))
+				for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+					if err := f.watch(); err != nil {
+						t.Fatal(err)
+					}
+					if f.lastReport.GetUnreachable() {
+						t.Fatal("the worker is reported as unreachable, but answers in its lifetime")
+					}
+				}
+			})
+		})
+	}
+}
+
 // A worker restarts after its time of day has jumped back, so that its new lifetime seems to be older
 // than the one before.
 func TestWorkerWhoseClockJumpedBackIsUsed(t *testing.T) {
