dispatch: tell agents at once which run ends are stored while more may follow

Callers saw jobs as running a minute after their tasks had ended. A worker lists a limited number of ended runs, and the next ones once these are acknowledged. The planner told its agent which are stored with the next watch call, and the one under way waits up to a second for a change that can't come: so each list took a second.

Now an order call without starts and stops tells it, at most each 100 ms, while more ends may follow: the agent says so, or the last ones came within 250 ms after it was told of those before, as they had waited for that. Such a call has carried the number before, with starts or stops, so agents of earlier versions that know it in orders gain, too. The watch call goes on: ending it would close its connection, and a report on its way would be lost. Ends that come now and then cost no call.

--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -53,6 +53,7 @@
 	log            zerolog.Logger
 	// earlierAgents has the addresses of the agents that answer as those of earlier versions.
 	earlierAgents sync.Map
+	emptyOrders   atomic.Int64 // Order calls without starts and stops.
 	network       network
 }
 
@@ -465,6 +466,9 @@
 // Order answers for an agent of an earlier version: a stopped run that the worker doesn't list right after the
 // stop is absent.
 func (c versionedClient) Order(ctx context.Context, r *connect.Request[pb.OrderRequest]) (*connect.Response[pb.OrderResponse], error) {
+	if len(r.Msg.GetStarts())+len(r.Msg.GetStops()) == 0 {
+		c.cluster.emptyOrders.Add(1)
+	}
 	_, earlier := c.cluster.earlierAgents.Load(c.address)
 	if earlier {
 		r.Msg.StoredEnd = 0 // Not known to such an agent.
--- a/internal/dispatch/ends_test.go
+++ b/internal/dispatch/ends_test.go
@@ -75,3 +75,39 @@
 		})
 	}
 }
+
+// Many more runs end at once than a worker lists at a time. Their jobs must not wait a second for each list.
+func TestEndsBeyondListAreSoonStored(t *testing.T) {
+	for _, cutsSilently := range []bool{false, true} {
+		t.Run(fmt.Sprint("cuts silently: ", cutsSilently), func(t *testing.T) {
+			withVirtualTime(t, func(t *testing.T) {
+				c := newClusterWith(t, 2, 1, func(*standin.Store) {}, func(e *standin.Executor) {
+					e.MaxEnded, e.CutsSilently = 20, cutsSilently
+				})
+				checker := c.watchRuns()
+				time.Sleep(3 * time.Second)
+				c.submit("a", "red", "batch", small(5, 600))
+				time.Sleep(5 * time.Second)
+				c.await(7*time.Second, shop.Done, "a")
+				c.reportViolations(checker)
+			})
+		})
+	}
+}
+
+// Runs that end now and then, as on most days, need no calls of their own to tell the agent that the ends are stored.
+func TestSparseEndsNeedNoOrders(t *testing.T) {
+	withVirtualTime(t, func(t *testing.T) {
+		c := newCluster(t, 2, 1)
+		time.Sleep(3 * time.Second)
+		var jobs []string
+		for i := range 10 {
+			jobs = append(jobs, fmt.Sprint("job", i))
+			c.submit(jobs[i], "red", "batch", task(2+float64(i)*1.3, 0))
+		}
+		c.await(20*time.Second, shop.Done, jobs...)
+		if n := c.emptyOrders.Load(); n != 0 {
+			t.Errorf("%d order calls without starts and stops, want none", n)
+		}
+	})
+}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -31,6 +31,7 @@
 		w.lifetime, w.lifetimeSince = l, now
 		w.appliedEnds, w.storedEnds = endPosition{lifetime: l}, endPosition{lifetime: l}
 		w.ackingEnd, w.ackingFor, w.ackedEnd, w.unprovenAbsences = 0, 0, 0, nil
+		w.toldEnd, w.toldAt, w.moreEnds = 0, 0, false
 		w.health = health{}
 	}
 	w.hardware = workflow.Worker{
@@ -53,9 +54,13 @@
 		}
 	}
 	ap.applyRunning(w, m.GetRunning(), observed)
+	before := w.appliedEnds.number
 	for _, e := range m.GetEnded() {
 		ap.applyEnd(w, e)
 	}
+	if w.appliedEnds.number > before {
+		w.moreEnds = m.GetMoreEnded() || now.Sub(w.toldAt) < followingEnds
+	}
 	w.updateAckedEnd(observed)
 	ap.settleAbsences(w, asked)
 	if !m.GetMoreEnded() {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -36,6 +36,11 @@
 	// ackTimeout is the time, as far as an agent reports, within which it has passed on to its worker up to
 	// which number run ends are stored. Its polls take up to 1.7 s.
 	ackTimeout = 4 * time.Second
+	// followingEnds is the time after the agent was told which run ends are stored within which those that its
+	// worker had left out of its list are reported.
+	followingEnds = 250 * time.Millisecond
+	// minTellInterval is the least time between two order calls that only tell an agent which run ends are stored.
+	minTellInterval = 100 * time.Millisecond
 	// minCutList is the least number of ended runs in a list that agents of earlier versions take as complete
 	// although it isn't.
 	minCutList = 500
@@ -72,6 +77,9 @@
 	endedLifetimes   []string
 	appliedEnds      endPosition // Run ends that this planner has applied.
 	storedEnds       endPosition // Run ends that are in the journal.
+	toldEnd          uint64      // Of them, those that the agent has been told of, if that call wasn't lost.
+	toldAt           clock.Instant
+	moreEnds         bool // The worker may have left run ends out of its list, which follow once those before are stored.
 	health           health
 	ackingEnd        uint64         // Being passed on to the worker as stored.
 	ackingFor        time.Duration  // For how long it has been, counting only the time for which the agent has reported.
@@ -123,6 +131,19 @@
 	}
 }
 
+// noteTold records that a call to the agent tells it which run ends are stored.
+func (w *worker) noteTold(now clock.Instant) {
+	if w.storedEnds.number > w.toldEnd {
+		w.toldEnd, w.toldAt = w.storedEnds.number, now
+	}
+}
+
+// mustTell reports whether to tell the agent at once which run ends are stored. Otherwise it learns that with the
+// next call, of which there is at least one a second.
+func (w *worker) mustTell(now clock.Instant) bool {
+	return w.moreEnds && w.storedEnds.number > w.toldEnd && now.Sub(w.toldAt) >= minTellInterval
+}
+
 // wakeOrders triggers sendOrders.
 func (w *worker) wakeOrders() {
 	select {
@@ -220,6 +241,7 @@
 func (ap *activePlanner) watchRequest(w *worker) *pb.WatchRequest {
 	ap.mu.Lock()
 	defer ap.mu.Unlock()
+	w.noteTold(clock.Now())
 	return &pb.WatchRequest{
 		Epoch: ap.epoch, AgentLife: w.agentIncarnation, Report: w.reportNumber,
 		Grant:    durationpb.New(ap.grant(w.receivedAt)),
@@ -231,7 +253,8 @@
 // orderFunc is the Order call of an agent.
 type orderFunc func(context.Context, *connect.Request[pb.OrderRequest]) (*connect.Response[pb.OrderResponse], error)
 
-// sendOrders sends the starts and stops for a worker until ctx ends.
+// sendOrders sends the starts and stops for a worker until ctx ends. A watch call that is waiting can't tell the
+// agent which run ends are stored, so an order call does while more of them may follow.
 func (ap *activePlanner) sendOrders(ctx context.Context, w *worker, call orderFunc) {
 	t := time.NewTicker(stopRetryInterval)
 	defer t.Stop()
@@ -243,7 +266,7 @@
 			return
 		}
 		req, members := ap.nextOrders(w)
-		if len(req.GetStarts())+len(req.GetStops()) == 0 {
+		if req == nil {
 			continue
 		}
 		ap.group.Go(func() error {
@@ -264,7 +287,7 @@
 }
 
 // nextOrders returns the starts and stops that are due for a worker, and their members in the
-// order of the results.
+// order of the results. It returns nil if there is nothing to tell the agent.
 func (ap *activePlanner) nextOrders(w *worker) (*pb.OrderRequest, []*member) {
 	ap.mu.Lock()
 	defer ap.mu.Unlock()
@@ -301,6 +324,10 @@
 	}
 	req.Stops = append(req.Stops, w.unclaimedRuns...) // Their results come last and are ignored.
 	w.unclaimedRuns = nil
+	if len(req.GetStarts())+len(req.GetStops()) == 0 && !w.mustTell(now) {
+		return nil, nil
+	}
+	w.noteTold(now)
 	return req, append(starts, stops...)
 }
 
