intake: no call is refused on what its peers knew a second before

A caller was refused (503) a job that had been accepted 2 ms earlier at another entry, and that ran. A call that takes 0.5 s is passed on, and its peers are asked then. If they didn't take it, the outcome of the entry's own write decided, also if that was a refusal 1 s later: the record had waited behind an open write and was withdrawn. The peer that had accepted the job was known to be silent, but that had qualified an undecided outcome only. In the same way a call was refused that a peer had got, not answered, and then wrote.

Now every refusal follows a survey of the peers that was made once the record can no longer be written here, and what this entry has read itself meanwhile counts. What a peer has got and not answered is undecided. A call that no peer got and that was not sent from here is refused whichever outcome comes first; before, it was undecided if its own came first.

TestCallBehindOpenWriteIsNotRefused failed before in its three cases, and the tasks ran.

--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -203,9 +203,29 @@
 type storeLink struct {
 	mu           sync.Mutex
 	disconnected bool
+	answersLost  bool
 	appendsLost  bool
 }
 
+// loseAnswers disconnects the process. Its calls in progress get no answer either.
+func (l *storeLink) loseAnswers() {
+	l.mu.Lock()
+	l.disconnected, l.answersLost = true, true
+	l.mu.Unlock()
+}
+
+// checkAnswer blocks until ctx ends if answers are lost.
+func (l *storeLink) checkAnswer(ctx context.Context) error {
+	l.mu.Lock()
+	lost := l.answersLost
+	l.mu.Unlock()
+	if !lost {
+		return nil
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
 // loseAppends sets whether appends reach nobody, while reads are answered.
 func (l *storeLink) loseAppends(lost bool) {
 	l.mu.Lock()
@@ -254,7 +274,11 @@
 			if err := l.checkLink(ctx); err != nil {
 				return journal.Page{}, err
 			}
-			return s.Read(ctx, from, wait)
+			page, err := s.Read(ctx, from, wait)
+			if lost := l.checkAnswer(ctx); lost != nil {
+				return journal.Page{}, lost
+			}
+			return page, err
 		},
 		Ping: func(ctx context.Context) error {
 			if err := l.checkLink(ctx); err != nil {
--- a/internal/dispatch/submit_test.go
+++ b/internal/dispatch/submit_test.go
@@ -276,6 +276,68 @@
 	})
 }
 
+// A call waits behind an open write until its time is over. No peer can tell then whether an earlier call was accepted,
+// or whether the peer that this one was passed on to writes it.
+func TestCallBehindOpenWriteIsNotRefused(t *testing.T) {
+	tests := []struct {
+		name string
+		// first is called after the open write was sent.
+		first func(c *cluster, peer *entry)
+		lose  func(*storeLink)
+	}{
+		{
+			name: "a peer that has accepted the job is killed",
+			lose: (*storeLink).loseAnswers,
+			first: func(c *cluster, peer *entry) {
+				c.submitFirst(peer)
+				time.AfterFunc(300*time.Millisecond, peer.kill)
+			},
+		},
+		{
+			name: "the same, and the entry has read the job's record",
+			lose: func(l *storeLink) { l.loseAppends(true) },
+			first: func(c *cluster, peer *entry) {
+				c.submitFirst(peer)
+				time.AfterFunc(300*time.Millisecond, peer.kill)
+			},
+		},
+		{
+			name: "the peer that the call was passed on to doesn't answer",
+			lose: (*storeLink).loseAnswers,
+			first: func(_ *cluster, peer *entry) {
+				time.Sleep(45 * time.Millisecond)
+				// The open write has been passed on by then, and the call has not.
+				time.AfterFunc(480*time.Millisecond, func() { peer.storeLink.loseAppends(true) })
+				time.AfterFunc(3*time.Second, func() { peer.storeLink.loseAppends(false) })
+			},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			withVirtualTime(t, func(t *testing.T) {
+				c := newCluster(t, 2, 2)
+				time.Sleep(3 * time.Second)
+				behind, peer := c.entries[0], c.entries[1]
+				tt.lose(&behind.storeLink)
+				go func() { _ = c.submitAt(behind, "open", "red", "batch", task(1, 1)) }()
+				time.Sleep(5 * time.Millisecond)
+				tt.first(c, peer)
+				if err := c.submitAt(behind, "a", "red", "batch", task(1, 1)); errors.Is(err, intake.ErrUnavailable) {
+					time.Sleep(5 * time.Second)
+					t.Errorf("submit: %v; its task was started %d times", err, c.runs.count("a.0.0.0"))
+				}
+			})
+		})
+	}
+}
+
+// submitFirst submits job "a" at an entry, which accepts it.
+func (c *cluster) submitFirst(e *entry) {
+	if err := c.submitAt(e, "a", "red", "batch", task(1, 1)); err != nil {
+		c.t.Error(err)
+	}
+}
+
 // A cancellation is answered with "no such job" only if no entry may still write the job: it would run.
 func TestCancelWaitsForOpenWrite(t *testing.T) {
 	withVirtualTime(t, func(t *testing.T) {
--- a/internal/intake/peers.go
+++ b/internal/intake/peers.go
@@ -49,6 +49,14 @@
 	forward        func(context.Context, sniperillv1connect.DeskServiceClient) (pb.DeskResult, error)
 }
 
+// errNotPassedOn is returned for a call that no peer has got or may still get, while its local outcome is open.
+var errNotPassedOn = errors.New("no peer took the call")
+
+// decided reports whether a call's outcome here or at a peer settles the whole call.
+func decided(err error) bool {
+	return err == nil || errors.Is(err, shop.ErrNotFound) || errors.Is(err, ErrTooLarge)
+}
+
 // execute makes a call here and, if the store can't be reached or doesn't answer within
 // hedgeDelay, at a peer. It succeeds as soon as one of them does. It returns ErrUnavailable only
 // if neither can take effect any more.
@@ -61,26 +69,39 @@
 	defer hedge.Stop()
 	select {
 	case err := <-local:
-		if err == nil || errors.Is(err, shop.ErrNotFound) || errors.Is(err, ErrTooLarge) {
+		if decided(err) {
 			return err
 		}
 		return s.forward(ctx, c, err)
 	case <-hedge.C:
 	}
 	forwarded := make(chan error, 1)
-	go func() { forwarded <- s.forward(ctx, c, ErrUndecided) }()
+	go func() { forwarded <- s.forward(ctx, c, errNotPassedOn) }()
+	var localErr, forwardErr error
 	select {
-	case err := <-local:
-		if err == nil || errors.Is(err, shop.ErrNotFound) || errors.Is(err, ErrTooLarge) {
-			return err
+	case localErr = <-local:
+		if decided(localErr) {
+			return localErr
 		}
-		return <-forwarded
-	case err := <-forwarded:
-		if err == nil || errors.Is(err, shop.ErrNotFound) {
-			return err
+		if forwardErr = <-forwarded; decided(forwardErr) {
+			return forwardErr
 		}
-		return <-local
+	case forwardErr = <-forwarded:
+		if decided(forwardErr) {
+			return forwardErr
+		}
+		if localErr = <-local; decided(localErr) {
+			return localErr
+		}
+	}
+	if !errors.Is(forwardErr, errNotPassedOn) {
+		return forwardErr // The peer may still carry it out.
 	}
+	if !c.refusalIsFinal || !errors.Is(localErr, ErrUnavailable) {
+		return localErr
+	}
+	// What the peers knew when the call was about to be passed on says nothing about the time until now.
+	return s.surveyPeers(ctx, c.job).qualify(localErr)
 }
 
 // forward makes the call at a peer that reaches the store, if there is one. If there is none or
@@ -88,7 +109,7 @@
 func (s *Service) forward(ctx context.Context, c call, err error) error {
 	survey := s.surveyPeers(ctx, c.job)
 	if c.refusalIsFinal && survey.accepted {
-		s.Log.Info().AnErr("own", err).Str("job", c.job).Msg("A job was submitted again that a peer has accepted.")
+		s.Log.Info().AnErr("own", err).Str("job", c.job).Msg("A job was submitted again that has been accepted.")
 		return nil
 	}
 	if c.refusalIsFinal {
@@ -121,15 +142,18 @@
 	// pending is set if a peer may be writing the job of the call or may have written it. silent is
 	// set if this may hold for a peer that stopped answering recently or is not known yet.
 	pending, silent bool
-	// accepted is set if a peer knows that the job is in the journal.
+	// accepted is set if a peer or this entry knows that the job is in the journal.
 	accepted bool
 }
 
-// qualify turns a refusal into an undecided outcome if a peer may still write the job.
+// qualify turns a refusal into an undecided outcome if a peer may still write the job, and into a success if the job
+// has been accepted.
 func (s peerSurvey) qualify(err error) error {
 	switch {
 	case !errors.Is(err, ErrUnavailable):
 		return err
+	case s.accepted:
+		return nil
 	case s.pending:
 		return fmt.Errorf("%w: by a peer: %v", errMayBeWritten, err) // %v, so that it doesn't count as a refusal.
 	case s.silent:
@@ -167,6 +191,9 @@
 			survey.hasReady, survey.ready = true, peers[i]
 		}
 	}
+	if _, accepted := s.known(job); accepted { // The record may have been read since the call began.
+		survey.accepted = true
+	}
 	return survey
 }
 
--- a/internal/intake/service.go
+++ b/internal/intake/service.go
@@ -108,11 +108,7 @@
 	if _, accepted := s.known(id); accepted {
 		return done(nil)
 	}
-	survey := s.surveyPeers(ctx, id)
-	if survey.accepted {
-		return done(nil)
-	}
-	return done(survey.qualify(fmt.Errorf("intake.Service: refuse: %w", ErrUnavailable)))
+	return done(s.surveyPeers(ctx, id).qualify(fmt.Errorf("intake.Service: refuse: %w", ErrUnavailable)))
 }
 
 func (s *Service) submitOnce(ctx context.Context, j *workflow.Job) error {
