host: a stopped run is absent only once its end can't follow

A task ran again after its run had ended as done. The agent had called the run absent when it had seen the ends of all runs that had ended when the worker accepted the stop; but a worker takes a while to stop a run, which may be done meanwhile, and its list of ended runs may be cut.

TestStopIsNotAbsentWhileItsEndIsNotListed failed before ("OUTCOME_ABSENT, want stopping").

Now the ends must have been seen of all runs that had ended when the run was first missing after its stop.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -79,8 +79,9 @@
 	lastStoredEnd uint64                // The planner has stored run ends up to this number.
 	// endsSeenUntil is a time such that the ends of all runs that ended before have been seen.
 	endsSeenUntil clock.Instant
-	// stops has when the worker had first accepted the stop of each run that is not known to be over.
-	stops          map[taskRun]clock.Instant
+	// gone has when the worker had first shown that a run which it had been told to stop is not running, for each
+	// such run whose end may follow.
+	gone           map[taskRun]clock.Instant
 	endedLifetimes []string
 	// lifetimeReport is the newest report that was sent before the worker answered in the current lifetime.
 	lifetimeReport uint64
@@ -255,7 +256,7 @@
 // resetState drops what the worker reported in its last lifetime. The caller holds the lock.
 func (a *Agent) resetState() {
 	a.running, a.recentStarts, a.ended, a.moreEnded, a.lastStoredEnd, a.polledAt = nil, nil, nil, false, 0, 0
-	a.stops, a.endsSeenUntil, a.shownSince = nil, 0, 0
+	a.gone, a.endsSeenUntil, a.shownSince = nil, 0, 0
 	a.lease.reset()
 }
 
@@ -460,7 +461,7 @@
 			last = e.Number
 			a.ended = append(a.ended, e)
 			added = true
-			delete(a.stops, taskRun{e.Task, e.Run})
+			delete(a.gone, taskRun{e.Task, e.Run})
 			if slices.ContainsFunc(a.running, func(r Running) bool { return r.Task == e.Task && r.Run == e.Run }) {
 				a.endsSeenUntil = max(a.endsSeenUntil, a.polledAt) // It was running then.
 			}
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -907,3 +907,26 @@
 		})
 	}
 }
+
+// A stopped run ends only after its stop was accepted, and its end is not in the worker's list yet, which is cut.
+func TestStopIsNotAbsentWhileItsEndIsNotListed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixtureWith(t, 1)
+		f.executor.CutsSilently = true
+		stopTime := 50 * time.Millisecond
+		f.executor.StopTime = func() time.Duration { return stopTime }
+		f.renewFor(3 * time.Second)
+		for _, task := range []string{"j.0.0.0", "j.0.0.1"} {
+			f.start(task)
+		}
+		f.stop("j.0.0.0", 1)
+		stopTime = 100 * time.Millisecond
+		if got := f.stop("j.0.0.1", 1); got != pb.Outcome_OUTCOME_STOPPING {
+			t.Errorf("stop of a run that is running: %v, want stopping", got)
+		}
+		time.Sleep(150 * time.Millisecond) // Both end, and the worker lists the first one's end.
+		if got := f.stop("j.0.0.1", 1); got != pb.Outcome_OUTCOME_STOPPING {
+			t.Errorf("stop of a run that has ended since the first stop and is not listed: %v, want stopping", got)
+		}
+	})
+}
--- a/internal/host/orders.go
+++ b/internal/host/orders.go
@@ -156,7 +156,7 @@
 	}
 	_ = group.Wait() // The functions report errors in their results.
 
-	acked := a.recordStops(lifetime, results)
+	acked := a.ackableEndOf(lifetime)
 	var state WorkerState
 	retryCtx, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
@@ -178,40 +178,39 @@
 	return results
 }
 
-// recordStops records that the worker has accepted the stops of runs. It returns the number up to which the
-// next poll may acknowledge run ends.
-func (a *Agent) recordStops(lifetime string, results []*pb.OrderResult) (acked uint64) {
+// ackableEndOf returns the number up to which a poll of a lifetime may acknowledge run ends.
+func (a *Agent) ackableEndOf(lifetime string) uint64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if lifetime != a.lifetime.String() {
 		return 0
 	}
-	now := clock.Now()
-	for _, r := range results {
-		run := taskRun{r.GetTask(), int(r.GetRun())}
-		if _, known := a.stops[run]; known || r.GetOutcome() != pb.Outcome_OUTCOME_STOPPING {
-			continue
-		}
-		if a.stops == nil {
-			a.stops = make(map[taskRun]clock.Instant)
-		}
-		a.stops[run] = now
-	}
 	return a.ackableEnd()
 }
 
 // isAbsent reports whether a stopped run is over without an end that will be reported, given the state that the
-// worker returned after the stop. As its lists of ended runs may be cut, that a run is missing proves nothing
-// until the ends of all runs that ended before the stop have been seen.
+// worker returned after it had accepted the stop. As its lists of ended runs may be cut, and the run may have
+// ended after the stop, that it is missing proves nothing until the ends of all runs that had ended when it was
+// first missing have been seen.
 func (a *Agent) isAbsent(state WorkerState, run taskRun) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	stopped, ok := a.stops[run]
-	if !ok || stopped > a.endsSeenUntil || state.contains(run) ||
+	if state.Lifetime != a.lifetime.String() || state.contains(run) ||
 		slices.ContainsFunc(a.ended, func(e Ended) bool { return e.Task == run.task && e.Run == run.run }) {
 		return false
 	}
-	delete(a.stops, run)
+	since, ok := a.gone[run]
+	if !ok {
+		if a.gone == nil {
+			a.gone = make(map[taskRun]clock.Instant)
+		}
+		since = clock.Now()
+		a.gone[run] = since
+	}
+	if allListed := len(state.Ended) == 0 && !state.MoreEnded; !allListed && a.endsSeenUntil < since {
+		return false
+	}
+	delete(a.gone, run)
 	return true
 }
 
