dispatch: a test of random faults beside odd heartbeats

Other writers announce lifetimes to the agents of workers that don't answer for up to 1.5 s, beside the faults of TestJobsSurviveFaults.

--- a/internal/dispatch/chaos_test.go
+++ b/internal/dispatch/chaos_test.go
@@ -22,6 +22,7 @@
 type chaos struct {
 	*cluster
 	random  *rand.Rand
+	odd     *rand.Rand // The source of odd heartbeats; nil if there are none.
 	checker standin.RunChecker
 	jobs    []string
 }
@@ -93,7 +94,7 @@
 	for seed := *chaosFirst; seed < *chaosFirst+*chaosSeeds; seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			withVirtualTime(t, func(t *testing.T) {
-				runChaos(seed, newCluster(t, 3, 4), nil)
+				runChaos(seed, newCluster(t, 3, 4), nil, nil)
 			})
 		})
 	}
@@ -106,15 +107,42 @@
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			withVirtualTime(t, func(t *testing.T) {
 				c := newClusterWith(t, 3, 4, func(*standin.Store) {}, func(e *standin.Executor) { e.MaxEnded, e.CutsSilently = 2, true })
-				runChaos(seed, c, rand.New(rand.NewPCG(seed, 1)))
+				runChaos(seed, c, rand.New(rand.NewPCG(seed, 1)), nil)
 			})
 		})
 	}
 }
 
-// runChaos plays the jobs and faults of a seed, with the given source of the network's delays and losses, if any.
-func runChaos(seed uint64, cluster *cluster, network *rand.Rand) {
-	c := &chaos{cluster: cluster, random: rand.New(rand.NewPCG(seed, 0))}
+// As above, while other writers announce lifetimes to the agents of workers that don't answer for a moment.
+func TestJobsSurviveFaultsAndOddHeartbeats(t *testing.T) {
+	for seed := *chaosFirst; seed < *chaosFirst+*chaosSeeds; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			withVirtualTime(t, func(t *testing.T) {
+				runChaos(seed, newCluster(t, 3, 4), nil, rand.New(rand.NewPCG(seed, 2)))
+			})
+		})
+	}
+}
+
+// injectOddHeartbeat sends another writer's heartbeat to the agent of a worker that may not answer for a moment.
+func (c *chaos) injectOddHeartbeat() {
+	a := c.agents[c.odd.IntN(len(c.agents))]
+	executor, process := a.machine.Executor(), a.process
+	hb := executor.Heartbeat("s", "r1-0", 1+c.odd.Int64N(100))
+	hb.Lifetime.ID = []string{a.name, "other"}[c.odd.IntN(2)]
+	hb.Lifetime.StartedUnixMS = []int64{0, time.Now().UnixMilli() + 1000}[c.odd.IntN(2)]
+	if c.odd.IntN(4) > 0 {
+		executor.Silence(true)
+		time.AfterFunc(time.Duration(c.odd.IntN(1500))*time.Millisecond, func() { executor.Silence(false) })
+	}
+	go func() { _ = process.Heartbeat(c.ctx, hb) }() // Most are refused.
+	time.Sleep(time.Duration(c.odd.IntN(200)) * time.Millisecond)
+}
+
+// runChaos plays the jobs and faults of a seed, with the given sources of the network's delays and losses, and of odd
+// heartbeats, if any.
+func runChaos(seed uint64, cluster *cluster, network, odd *rand.Rand) {
+	c := &chaos{cluster: cluster, random: rand.New(rand.NewPCG(seed, 0)), odd: odd}
 	for _, a := range c.agents {
 		c.checker.Watch(a.machine.Executor())
 	}
@@ -124,6 +152,9 @@
 		c.submitWithRetry(fmt.Sprint("job", i))
 		time.Sleep(time.Duration(c.random.IntN(1200)) * time.Millisecond)
 		c.injectFault()
+		if c.odd != nil {
+			c.injectOddHeartbeat()
+		}
 	}
 	c.network.setRandom(nil)
 	c.store.SetFault(standin.StoreHealthy)
