--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -55,6 +55,57 @@
 	earlierAgents sync.Map
 	emptyOrders   atomic.Int64 // Order calls without starts and stops.
 	network       network
+	pauses        sync.Map // *pause by the name of the process.
+}
+
+// pause is a time in which a process doesn't run, as far as others can tell: its calls and answers go out, and
+// are taken note of, only once it is over.
+type pause struct {
+	ended <-chan struct{} // Closed when the test ends.
+	mu    sync.Mutex
+	until time.Time
+}
+
+func (p *pause) begin(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.until = time.Now().Add(d)
+}
+
+// wait returns once the process runs.
+func (p *pause) wait() {
+	for {
+		p.mu.Lock()
+		left := time.Until(p.until)
+		p.mu.Unlock()
+		if left <= 0 {
+			return
+		}
+		select {
+		case <-time.After(left):
+		case <-p.ended:
+			return
+		}
+	}
+}
+
+// pauseOf returns the pause of the process with a name.
+func (c *cluster) pauseOf(name string) *pause {
+	p, _ := c.pauses.LoadOrStore(name, &pause{ended: c.ctx.Done()})
+	return p.(*pause)
+}
+
+// paused returns a call as it is made by a process that is paused at times.
+func paused[A, B any](p *pause, call func(context.Context, A) (B, error)) func(context.Context, A) (B, error) {
+	return func(ctx context.Context, a A) (B, error) {
+		p.wait()
+		b, err := call(ctx, a)
+		p.wait()
+		if err == nil && ctx.Err() != nil {
+			err = ctx.Err()
+		}
+		return b, err
+	}
 }
 
 // entry is a process that accepts jobs and may plan.
@@ -78,6 +129,7 @@
 	kill       context.CancelFunc
 	heartbeats atomic.Int64
 	mute       atomic.Bool                      // The worker sends no heartbeats.
+	pause      *pause                           // Of the process; nil if it is never paused.
 	network    *network                         // Between the process and the worker.
 	polled     atomic.Pointer[standin.Executor] // The one to which the connection for polls is open.
 	// beforeStart, if set, is called with each start before it reaches the worker.
@@ -127,6 +179,9 @@
 			}
 			return state, err
 		})
+		if a.pause != nil {
+			a.pause.wait()
+		}
 		if thawed := a.thawed.Load(); thawed != nil {
 			<-*thawed
 		}
@@ -162,6 +217,9 @@
 		}
 		return struct{}{}, f(ctx)
 	})
+	if a.pause != nil {
+		a.pause.wait()
+	}
 	return err
 }
 
@@ -171,6 +229,9 @@
 func (a *agent) connect(running context.Context, open bool) func(ctx context.Context) error {
 	connected := a.machine.Executor()
 	killed := running.Err() != nil
+	if a.pause != nil {
+		a.pause.wait()
+	}
 	return func(ctx context.Context) error {
 		if killed || a.machine.Executor() != connected && (open || ctx.Err() != nil) {
 			return errLost
@@ -201,6 +262,7 @@
 
 // storeLink is the connection of one process to the store.
 type storeLink struct {
+	pause        *pause
 	mu           sync.Mutex
 	disconnected bool
 	answersLost  bool
@@ -247,6 +309,7 @@
 
 // checkLink blocks until ctx ends if the link is disconnected.
 func (l *storeLink) checkLink(ctx context.Context) error {
+	l.pause.wait()
 	l.mu.Lock()
 	disconnected := l.disconnected
 	l.mu.Unlock()
@@ -268,12 +331,14 @@
 				<-ctx.Done()
 				return 0, ctx.Err()
 			}
+			defer l.pause.wait()
 			return s.Append(ctx, p, r)
 		},
 		Read: func(ctx context.Context, from int64, wait time.Duration) (journal.Page, error) {
 			if err := l.checkLink(ctx); err != nil {
 				return journal.Page{}, err
 			}
+			defer l.pause.wait()
 			page, err := s.Read(ctx, from, wait)
 			if lost := l.checkAnswer(ctx); lost != nil {
 				return journal.Page{}, lost
@@ -299,6 +364,7 @@
 type agentTable struct {
 	mu     sync.Mutex
 	agents map[string]*host.Agent
+	pause  *pause          // Of the entry.
 	isCut  bool            // No call of the entry reaches an agent.
 	thawed map[string]bool // Agents whose next Watch call has waited long enough.
 	held   map[string]*heldOrder
@@ -475,11 +541,19 @@
 	cluster *cluster
 }
 
+// agentPause returns the pause of the agent.
+func (c versionedClient) agentPause() *pause {
+	name, _, _ := strings.Cut(c.address, ":")
+	return c.cluster.pauseOf(name)
+}
+
 // Watch removes what agents of earlier versions don't say.
 func (c versionedClient) Watch(ctx context.Context, r *connect.Request[pb.WatchRequest]) (*connect.Response[pb.WatchResponse], error) {
+	c.table.pause.wait()
 	resp, err := carryRepeated(ctx, &c.cluster.network, func(ctx context.Context) (*connect.Response[pb.WatchResponse], error) {
-		return c.agentClient.Watch(ctx, r)
+		return paused(c.agentPause(), c.agentClient.Watch)(ctx, r)
 	})
+	c.table.pause.wait()
 	c.table.awaitHandling(c.address)
 	if _, earlier := c.cluster.earlierAgents.Load(c.address); earlier && err == nil {
 		resp.Msg.MoreEnded = false
@@ -490,6 +564,8 @@
 // Order answers for an agent of an earlier version: a stopped run that the worker doesn't list right after the
 // stop is absent.
 func (c versionedClient) Order(ctx context.Context, r *connect.Request[pb.OrderRequest]) (*connect.Response[pb.OrderResponse], error) {
+	c.table.pause.wait()
+	defer c.table.pause.wait()
 	if len(r.Msg.GetStarts())+len(r.Msg.GetStops()) == 0 {
 		c.cluster.emptyOrders.Add(1)
 	}
@@ -498,7 +574,7 @@
 		r.Msg.StoredEnd = 0 // Not known to such an agent.
 	}
 	return carryRepeated(ctx, &c.cluster.network, func(ctx context.Context) (*connect.Response[pb.OrderResponse], error) {
-		resp, err := c.agentClient.Order(ctx, r)
+		resp, err := paused(c.agentPause(), c.agentClient.Order)(ctx, r)
 		if err != nil || !earlier {
 			return resp, err
 		}
@@ -579,7 +655,8 @@
 func (c *cluster) startEntry(name string) *entry { return c.startEntryWithShare(name, 0) }
 
 func (c *cluster) startEntryWithShare(name string, cpuShare float64) *entry {
-	e := &entry{name: name, stopped: make(chan struct{}), agents: &agentTable{agents: make(map[string]*host.Agent)}}
+	e := &entry{name: name, stopped: make(chan struct{}), agents: &agentTable{agents: make(map[string]*host.Agent), pause: c.pauseOf(name)}}
+	e.storeLink.pause = e.agents.pause
 	log := c.log.With().Str("at", name).Logger()
 	store := e.storeLink.wrap(c.store.Journal())
 	incarnation := fmt.Sprint(time.Now().UnixNano())
@@ -656,7 +733,7 @@
 }
 
 func (c *cluster) startAgent(name string, number int) *agent {
-	a := &agent{name: name, network: &c.network}
+	a := &agent{name: name, network: &c.network, pause: c.pauseOf(name)}
 	a.machine.SetExecutor(c.newExecutor(name, 1))
 	rack := fmt.Sprintf("r1-%d", number/3)
 	c.startAgentProcess(a, rack)
@@ -833,9 +910,22 @@
 	return nil
 }
 
+// awaitPlanner returns the entry that is the active planner, once there is one.
+func (c *cluster) awaitPlanner() *entry {
+	for {
+		for _, e := range c.entries {
+			if p, _ := e.state.Planner(); p.Name == e.name && !p.Resigned {
+				return e
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
 // restartEntry kills an entry and starts it again.
 func (c *cluster) restartEntry(e *entry) {
 	e.kill()
+	c.pauses.Delete(e.name) // A new process runs.
 	i := slices.Index(c.entries, e)
 	next := c.startEntry(e.name)
 	c.mu.Lock()
