clusterstate: odd records of a planner or of progress change nothing

A record under the planner's key that no planner has written was taken for one. One that said that the planner of the last possible epoch had resigned kept all later planners from ever stepping up, as each has a lower epoch; one without a name, or that let another process resign, made the planner step down. Progress whose next run or failure number overflows was accepted too.

TestOddPlannerRecordsChangeNothing failed in all of its seven cases, and two new ones of TestOddRecordsChangeNothing did, all as "the record was accepted". Now such records are refused.

--- a/internal/clusterstate/progress.go
+++ b/internal/clusterstate/progress.go
@@ -122,6 +122,9 @@
 	return nil
 }
 
+// maxRuns is more than the runs that any unit can have.
+const maxRuns = 1 << 31
+
 // check returns an error if the progress can't be that of the job: another writer may have left it,
 // and the planner indexes the job's steps by its units.
 func (p Progress) check(j *workflow.Job) error {
@@ -130,8 +133,9 @@
 			return fmt.Errorf("%w: unit %v of a job with %d steps", errOther, k, len(j.Steps))
 		}
 		step := &j.Steps[k.Step]
-		if step.Gang != k.IsGang() || k.Index < gangIndex || k.Index >= step.Count || u.Run < 0 || u.Failures < 0 {
-			return fmt.Errorf("%w: unit %v with run %d of a step with %d tasks", errOther, k, u.Run, step.Count)
+		if step.Gang != k.IsGang() || k.Index < gangIndex || k.Index >= step.Count ||
+			u.Run < 0 || u.Run > maxRuns || u.Failures < 0 || u.Failures > maxRuns {
+			return fmt.Errorf("%w: unit %v with run %d and %d failures of a step with %d tasks", errOther, k, u.Run, u.Failures, step.Count)
 		}
 		for _, m := range u.Members {
 			if m.Index < 0 || m.Index >= step.Count || !k.IsGang() && m.Index != k.Index || m.AgentName == "" {
--- a/internal/clusterstate/record.go
+++ b/internal/clusterstate/record.go
@@ -68,6 +68,20 @@
 	Epoch int64 `json:"epoch,omitempty"`
 }
 
+// check returns an error if the record at an offset can't be that of a planner of this system, given the newest
+// planner before.
+func (p Planner) check(offset int64, old Planner) error {
+	switch {
+	case p.Name == "":
+		return fmt.Errorf("%w: planner without a name", errOther)
+	case p.Resigned && (p.Epoch < 1 || p.Epoch > offset):
+		return fmt.Errorf("%w: planner %q resigned in epoch %d", errOther, p.Name, p.Epoch)
+	case p.Resigned && p.Epoch == old.Epoch && (p.Name != old.Name || p.Incarnation != old.Incarnation):
+		return fmt.Errorf("%w: planner %q resigned in epoch %d of %q", errOther, p.Name, p.Epoch, old.Name)
+	}
+	return nil
+}
+
 // heartbeat reports that the planner of an epoch is alive.
 type heartbeat struct {
 	Epoch int64 `json:"epoch"`
--- a/internal/clusterstate/state.go
+++ b/internal/clusterstate/state.go
@@ -229,6 +229,9 @@
 		p.Epoch = r.Offset + 1
 	}
 	old, ok := s.Planner()
+	if err := p.check(r.Offset, old); err != nil {
+		return err
+	}
 	if ok && (p.Epoch < old.Epoch || old.Resigned && p.Epoch == old.Epoch) {
 		return nil
 	}
--- a/internal/clusterstate/state_test.go
+++ b/internal/clusterstate/state_test.go
@@ -136,6 +136,8 @@
 		{"progress of another occurrence", "p/a", `{"units":[{"k":[9,0,0],"r":1}]}`},
 		{"a member that doesn't exist", "p/a", `{"places":[["w","l"]],"units":[{"k":[0,0,0],"r":1,"m":[[4,0]]}]}`},
 		{"a negative run", "p/a", `{"units":[{"k":[0,0,0],"r":-1}]}`},
+		{"a run that none follows", "p/a", `{"units":[{"k":[0,0,0],"r":9223372036854775807}]}`},
+		{"failures that none follows", "p/a", `{"units":[{"k":[0,0,0],"r":1,"f":9223372036854775807}]}`},
 		{"a run that overflows", "p/a", `{"units":[{"k":[0,0,0],"r":` + digits + `}]}`},
 		{"progress nested deeply", "p/a", `{"units":` + deep},
 		{"no address", "w/x", `{"name":"x"}`},
@@ -176,6 +178,45 @@
 	}
 }
 
+// A record of another writer under the planner's key must not end what the planner does, nor keep all later ones
+// from stepping up.
+func TestOddPlannerRecordsChangeNothing(t *testing.T) {
+	const own, next = 5, 11 // Offsets of the planner's record and that of its successor.
+	tests := []struct{ name, value string }{
+		{"null", `null`},
+		{"no name", `{}`},
+		{"resigned without a name", `{"resigned":true,"epoch":6}`},
+		{"resigned in an epoch to come", `{"name":"y","resigned":true,"epoch":12}`},
+		{"resigned in the last epoch", `{"name":"y","resigned":true,"epoch":9223372036854775807}`},
+		{"resigned for another", `{"name":"y","resigned":true,"epoch":6}`},
+		{"resigned for an earlier process", `{"name":"x","start":"1","resigned":true,"epoch":6}`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := &clusterstate.State{}
+			step := clusterstate.PlannerRecord(clusterstate.Planner{Name: "x", Incarnation: "2"})
+			step.Offset = own
+			if err := s.Apply(step); err != nil {
+				t.Fatal(err)
+			}
+			want, _ := s.Planner()
+			if err := s.Apply(journal.Record{Key: "planner", Value: []byte(tt.value), Offset: 9}); err == nil {
+				t.Error("the record was accepted")
+			}
+			if got, _ := s.Planner(); got != want {
+				t.Errorf("planner %+v, want %+v", got, want)
+			}
+			step.Offset = next
+			if err := s.Apply(step); err != nil {
+				t.Fatal(err)
+			}
+			if got, _ := s.Planner(); got.Epoch != next+1 {
+				t.Errorf("the successor's epoch is %d, want %d", got.Epoch, next+1)
+			}
+		})
+	}
+}
+
 // The progress of a job may be read before the job itself.
 func TestOddProgressBeforeItsJob(t *testing.T) {
 	s := &clusterstate.State{}
