intake: an entry that restarted counts as one that may be writing the job

A refused job could run. An entry is killed while its write of a job is open, and starts again; the store falls silent, and the caller's repeat is refused, here or at a peer, although the first write may still arrive. A peer that has fallen silent counts as having the job for 4 s, but one that answers again was believed, although another process answered, with an empty memory; and a restart between two probes wasn't noticed.

Entries now tell each other their incarnation when they ask for a job. One that has seen an entry with another incarnation refuses nothing for 4 s, and answers that the job may be open; so the restarted entry learns it from its peers. The horizon is that of silent peers. Entries of earlier versions tell none, and nothing changes with them. The price: while the store can't be reached, 504 instead of 503 in those 4 s, and cancellations of unknown jobs wait.

In the tests' emulation, a killed entry passed its call on to a peer. It no longer has peers.

TestJobOfRestartedEntryIsNotRefused failed before at each entry.

--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -675,7 +675,9 @@
 		},
 	}
 	e.state.OnPlannerSeen, e.state.OnJobChanged, e.state.OnAgentRegistered = planner.PlannerSeen, planner.JobChanged, planner.AgentRegistered
-	e.intake = &intake.Service{ClusterState: e.state, Follower: follower, Writer: writer, Peers: c.peersOf(e), Log: log}
+	e.intake = &intake.Service{
+		Name: name, Incarnation: incarnation, ClusterState: e.state, Follower: follower, Writer: writer, Peers: c.peersOf(e), Log: log,
+	}
 	for _, a := range c.agents {
 		e.agents.set(agentAddress(a.name), a.process)
 	}
@@ -721,6 +723,9 @@
 	return func() []intake.Peer {
 		c.mu.Lock()
 		defer c.mu.Unlock()
+		if isClosed(e.killed) {
+			return nil
+		}
 		var out []intake.Peer
 		registered := e.state.Entries()
 		for _, o := range c.entries {
--- a/internal/dispatch/submit_test.go
+++ b/internal/dispatch/submit_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -338,6 +339,34 @@
 	}
 }
 
+// An entry whose write is open is killed and started again. It knows nothing of the write, which may still arrive, so
+// no entry may refuse the job.
+func TestJobOfRestartedEntryIsNotRefused(t *testing.T) {
+	for _, at := range []string{"entry-0", "entry-1", "entry-2"} {
+		t.Run(at, func(t *testing.T) {
+			withVirtualTime(t, func(t *testing.T) {
+				c := newCluster(t, 3, 2)
+				time.Sleep(3 * time.Second)
+				c.store.SetFault(standin.StoreAppendsSilent)
+				go func() { _ = c.submitAt(c.entries[0], "open", "red", "batch", task(1, 1)) }()
+				time.Sleep(200 * time.Millisecond)
+				c.restartEntry(c.entries[0])
+				time.Sleep(time.Second)
+				c.store.SetFault(standin.StoreSilent)
+				time.Sleep(time.Second)
+				e := c.entries[slices.IndexFunc(c.entries, func(e *entry) bool { return e.name == at })]
+				if err := c.submitAt(e, "open", "red", "batch", task(1, 1)); errors.Is(err, intake.ErrUnavailable) {
+					t.Errorf("submit again: %v", err)
+				}
+				time.Sleep(4 * time.Second)
+				if err := c.submitAt(e, "other", "red", "batch", task(1, 1)); !errors.Is(err, intake.ErrUnavailable) {
+					t.Errorf("submit another job later: %v, want %v", err, intake.ErrUnavailable)
+				}
+			})
+		})
+	}
+}
+
 // A cancellation is answered with "no such job" only if no entry may still write the job: it would run.
 func TestCancelWaitsForOpenWrite(t *testing.T) {
 	withVirtualTime(t, func(t *testing.T) {
--- a/internal/intake/peers.go
+++ b/internal/intake/peers.go
@@ -140,7 +140,8 @@
 	ready    Peer
 	hasReady bool
 	// pending is set if a peer may be writing the job of the call or may have written it. silent is
-	// set if this may hold for a peer that stopped answering recently or is not known yet.
+	// set if this may hold for a peer that stopped answering recently or is not known yet, or for an earlier
+	// incarnation of an entry.
 	pending, silent bool
 	// accepted is set if a peer or this entry knows that the job is in the journal.
 	accepted bool
@@ -157,7 +158,7 @@
 	case s.pending:
 		return fmt.Errorf("%w: by a peer: %v", errMayBeWritten, err) // %v, so that it doesn't count as a refusal.
 	case s.silent:
-		return fmt.Errorf("%w: by a silent or unknown peer: %v", errMayBeWritten, err)
+		return fmt.Errorf("%w: by a silent, unknown or replaced entry: %v", errMayBeWritten, err)
 	default:
 		return err
 	}
@@ -178,7 +179,7 @@
 	}
 	wg.Wait()
 	// An entry doesn't know its peers until it has read the journal to its end.
-	survey := peerSurvey{silent: s.Follower.CaughtUpAt() == 0}
+	survey := peerSurvey{silent: s.Follower.CaughtUpAt() == 0 || s.incarnations.replacedRecently()}
 	for i, a := range answers {
 		if a == nil {
 			since, silent := s.silentSince.Load(peers[i].Name)
@@ -215,7 +216,7 @@
 // probe asks one peer whether it is ready and what it knows of a job. It returns nil if the peer
 // doesn't answer.
 func (s *Service) probe(ctx context.Context, peer Peer, job string) *pb.DeskReadyResponse {
-	resp, err := peer.Client.Ready(ctx, connect.NewRequest(&pb.DeskReadyRequest{Job: job}))
+	resp, err := peer.Client.Ready(ctx, connect.NewRequest(&pb.DeskReadyRequest{Job: job, Entry: s.Name, Life: s.Incarnation}))
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return nil // This process is shutting down.
 	}
@@ -225,6 +226,7 @@
 		}
 		return nil
 	}
+	s.incarnations.note(peer.Name, resp.Msg.GetLife()) // Before it stops counting as silent.
 	if since, ok := s.silentSince.LoadAndDelete(peer.Name); ok {
 		s.Log.Info().Str("peer", peer.Name).Dur("silent", clock.Since(since.(clock.Instant))).Msg("A peer is back.")
 	}
@@ -279,9 +281,12 @@
 // Ready reports whether the entry reaches the store, and what it knows of the job if the request
 // names one.
 func (h Handler) Ready(_ context.Context, r *connect.Request[pb.DeskReadyRequest]) (*connect.Response[pb.DeskReadyResponse], error) {
-	out := &pb.DeskReadyResponse{Ready: h.Service.storeReachable()}
+	s := h.Service
+	s.incarnations.note(r.Msg.GetEntry(), r.Msg.GetLife())
+	out := &pb.DeskReadyResponse{Ready: s.storeReachable(), Life: s.Incarnation}
 	if id := r.Msg.GetJob(); id != "" {
-		out.Open, out.Accepted = h.Service.known(id)
+		out.Open, out.Accepted = s.known(id)
+		out.Open = out.Open || s.incarnations.replacedRecently()
 	}
 	return connect.NewResponse(out), nil
 }
--- a/internal/intake/service.go
+++ b/internal/intake/service.go
@@ -44,6 +44,9 @@
 
 // Service handles callers' jobs. Its exported fields are set before Run.
 type Service struct {
+	// Name and Incarnation are those of this entry.
+	Name, Incarnation string
+
 	ClusterState *clusterstate.State
 	Follower     *journal.Follower
 	Writer       *journal.Writer
@@ -51,9 +54,10 @@
 	Peers func() []Peer
 	Log   zerolog.Logger
 
-	silentSince sync.Map // The clock.Instant since which a peer has not answered, by its name.
-	pending     pendingJobs
-	store       storeProbe
+	silentSince  sync.Map // The clock.Instant since which a peer has not answered, by its name.
+	incarnations incarnations
+	pending      pendingJobs
+	store        storeProbe
 }
 
 // StateCurrent reports whether the journal has been read to its end recently.
