--- a/pkg/workflow/job.go
+++ b/pkg/workflow/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strconv"
 	"time"
 
@@ -112,7 +113,7 @@
 	tasks := 0
 	for i := range j.Steps {
 		l.Under(fmt.Sprintf("steps[%d]", i), j.Steps[i].validate(i))
-		tasks += max(0, j.Steps[i].Count)
+		tasks += min(max(0, j.Steps[i].Count), math.MaxInt32) // The sum must not overflow.
 	}
 	if tasks > MaxTasks {
 		l.Add("steps", strconv.Itoa(tasks)+" tasks", fmt.Sprintf("must be at most %d tasks in all", MaxTasks))
