host: a stop in one lifetime shows no absence in the next

A worker with the same id restarts after it has accepted a stop, and its heartbeat arrives before the look that follows the stop. The look is answered by the new lifetime, which is the agent's current one by then, and lists nothing: the run was said to be absent. The new lifetime knows of no stop, and could still carry out a start that was on its way, while the planner had the task started elsewhere.

The order's lifetime now has to be the one that was looked at. Otherwise the answer is "stopping", and the planner stops the run in the new lifetime.

TestStopInEarlierLifetimeIsNotAbsent failed before: OUTCOME_ABSENT. The tests of internal/host pass.

--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -930,3 +930,25 @@
 		}
 	})
 }
+
+// A worker restarts under its id after it has accepted a stop and before the look that follows. The next lifetime knows
+// of no stop, and may still carry out the start.
+func TestStopInEarlierLifetimeIsNotAbsent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		f.renewFor(3 * time.Second)
+		restarted := false
+		f.setOnPoll(func(ctx context.Context, r host.PollRequest, poll pollFunc) (host.WorkerState, error) {
+			if !restarted && !r.Probe && r.Wait == 0 && r.LeaseEnd == 0 {
+				restarted = true
+				f.executor.Crash()
+				f.startExecutor(host.Lifetime{ID: "w", StartedUnixMS: 2})
+				f.heartbeat(f.executor.Heartbeat("s", "r1-1", 1))
+			}
+			return poll(ctx, r)
+		})
+		if got := f.stop("j.0.0.0", 1); !restarted || got == pb.Outcome_OUTCOME_ABSENT {
+			t.Errorf("restarted after the stop: %v; stop: %v, want anything but absent", restarted, got)
+		}
+	})
+}
--- a/internal/host/orders.go
+++ b/internal/host/orders.go
@@ -171,7 +171,7 @@
 		return results
 	}
 	for _, r := range results {
-		if r.GetOutcome() == pb.Outcome_OUTCOME_STOPPING && a.isAbsent(state, taskRun{r.GetTask(), int(r.GetRun())}) {
+		if r.GetOutcome() == pb.Outcome_OUTCOME_STOPPING && a.isAbsent(state, lifetime, taskRun{r.GetTask(), int(r.GetRun())}) {
 			r.Outcome, r.EndsSeen = pb.Outcome_OUTCOME_ABSENT, true
 		}
 	}
@@ -189,13 +189,14 @@
 }
 
 // isAbsent reports whether a stopped run is over without an end that will be reported, given the state that the
-// worker returned after it had accepted the stop. As its lists of ended runs may be cut, and the run may have
-// ended after the stop, that it is missing proves nothing until the ends of all runs that had ended when it was
-// first missing have been seen.
-func (a *Agent) isAbsent(state WorkerState, run taskRun) bool {
+// worker returned after it had accepted the stop in a lifetime. The next lifetime with the same id, which may have
+// returned the state, knows of no stop and can still start the run. As the worker's lists of ended runs may be cut,
+// and the run may have ended after the stop, that it is missing proves nothing until the ends of all runs that had
+// ended when it was first missing have been seen.
+func (a *Agent) isAbsent(state WorkerState, lifetime string, run taskRun) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if state.Lifetime != a.lifetime.String() || state.contains(run) ||
+	if state.Lifetime != lifetime || lifetime != a.lifetime.String() || state.contains(run) ||
 		slices.ContainsFunc(a.ended, func(e Ended) bool { return e.Task == run.task && e.Run == run.run }) {
 		return false
 	}
