host: only the process that an order is for tells that a start was not sent

An order that an agent has carried out is delivered again once the agent's process has restarted. The new process refuses it, as it names another process's report, and called it unsent; the planner, if it got that answer, took the run as over while it was running. The new process knows nothing of what the one before has sent.

Such a refusal is no longer called unsent, so that the planner stops the run before the next one.

TestRestartedAgentDoesNotTellThatStartWasNotSent failed before: refused, unsent:true. The tests of internal/host pass.

--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -952,3 +952,29 @@
 		}
 	})
 }
+
+// An order that an agent has carried out is delivered again once its process has restarted. The new process doesn't
+// know whether the start was sent.
+func TestRestartedAgentDoesNotTellThatStartWasNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		f.renewFor(3 * time.Second)
+		order := &pb.OrderRequest{
+			Epoch: f.epoch, Lifetime: f.executor.Lifetime.String(), Agent: "a", AgentLife: "1",
+			Report: f.lastReport.GetReport(), Grant: durationpb.New(lease),
+			Starts: []*pb.StartTask{{Task: "j.0.0.0", Run: 1}},
+		}
+		if got := f.order(order)[0]; got.GetOutcome() != pb.Outcome_OUTCOME_STARTED {
+			t.Fatalf("start: %v, want started", got)
+		}
+		next := &host.Agent{Name: "a", Worker: f.worker(), Incarnation: "2", MaxLease: lease, StopTimeout: stopTimeout}
+		go next.Run(f.ctx)
+		resp, err := next.Order(f.ctx, connect.NewRequest(order))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := resp.Msg.GetResults()[0]; got.GetUnsent() {
+			t.Errorf("the same start at the next process: %v, want it not to be called unsent", got)
+		}
+	})
+}
--- a/internal/host/orders.go
+++ b/internal/host/orders.go
@@ -36,7 +36,8 @@
 		if reason != "" {
 			result.Detail = reason
 			if !maybeStarted {
-				result.Outcome, result.Unsent = pb.Outcome_OUTCOME_REFUSED, true
+				// For an order that an earlier process got, that one may have sent the start.
+				result.Outcome, result.Unsent = pb.Outcome_OUTCOME_REFUSED, m.GetAgentLife() == a.Incarnation
 			}
 			return result
 		}
