dispatch: an absence in one lifetime ends no run that the next may start

A start is delayed on its way, and its stop finds the run absent. Before that answer reaches the planner, the worker restarts under its id and a report shows the new lifetime, in which the planner begins to stop the run, as the start can still take effect there. Then the answer for the lifetime before arrives, and the planner took the run as over: the task started elsewhere, and the start took effect in the new lifetime.

An absence now counts only if it was found in the lifetime in which the run is being stopped.

TestAbsenceInEarlierLifetimeEndsNoRun failed before: "a.0.0.0 ran twice at once".

--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -138,6 +138,8 @@
 	answerStart func(error) error
 	// refuseStop, if set, returns an error for a stop that doesn't reach the worker.
 	refuseStop func() error
+	// loseStarts makes starts be lost on their way to the worker.
+	loseStarts atomic.Bool
 	thawed     atomic.Pointer[chan struct{}] // Closed when polls of a frozen agent make progress again.
 }
 
@@ -191,6 +193,10 @@
 		if a.beforeStart != nil {
 			a.beforeStart(s)
 		}
+		if a.loseStarts.Load() {
+			<-ctx.Done()
+			return ctx.Err()
+		}
 		err := a.call(ctx, running, func(ctx context.Context) error { return start(ctx, s) })
 		if a.answerStart != nil {
 			err = a.answerStart(err)
@@ -372,6 +378,8 @@
 	choices map[string]func() *host.Agent
 	// late has, by address, what the planner's handling of reports from there waits for.
 	late map[string]chan struct{}
+	// lateAnswers has the same for its handling of answers to stops.
+	lateAnswers map[string]chan struct{}
 }
 
 // delayReports makes the planner handle reports from an address only once the channel is closed.
@@ -394,6 +402,26 @@
 	}
 }
 
+// delayAnswers makes the planner handle answers to stops from an address only once the channel is closed.
+func (t *agentTable) delayAnswers(address string, until chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.lateAnswers == nil {
+		t.lateAnswers = make(map[string]chan struct{})
+	}
+	t.lateAnswers[address] = until
+}
+
+// awaitAnswer returns when the planner handles an answer to a stop from an address.
+func (t *agentTable) awaitAnswer(address string) {
+	t.mu.Lock()
+	until := t.lateAnswers[address]
+	t.mu.Unlock()
+	if until != nil {
+		<-until
+	}
+}
+
 // choose makes a function choose which process gets each call to an address.
 func (t *agentTable) choose(address string, f func() *host.Agent) {
 	t.mu.Lock()
@@ -566,6 +594,9 @@
 func (c versionedClient) Order(ctx context.Context, r *connect.Request[pb.OrderRequest]) (*connect.Response[pb.OrderResponse], error) {
 	c.table.pause.wait()
 	defer c.table.pause.wait()
+	if len(r.Msg.GetStops()) > 0 {
+		defer c.table.awaitAnswer(c.address)
+	}
 	if len(r.Msg.GetStarts())+len(r.Msg.GetStops()) == 0 {
 		c.cluster.emptyOrders.Add(1)
 	}
--- a/internal/dispatch/lifetime_test.go
+++ b/internal/dispatch/lifetime_test.go
@@ -106,3 +106,47 @@
 		})
 	}
 }
+
+// A worker restarts under its id after a run was found absent in the lifetime before, and that answer arrives only
+// when the planner knows the next lifetime, in which the start can still take effect.
+func TestAbsenceInEarlierLifetimeEndsNoRun(t *testing.T) {
+	withVirtualTime(t, func(t *testing.T) {
+		c := newCluster(t, 1, 2)
+		checker := c.watchRuns()
+		time.Sleep(3 * time.Second)
+		a := c.agents[0]
+		var late host.Start
+		a.beforeStart = func(s host.Start) {
+			if late.Task == "" {
+				late = s
+			}
+		}
+		a.loseStarts.Store(true)
+		c.submit("a", "red", "batch", task(20, 8))
+		time.Sleep(600 * time.Millisecond)
+		released := make(chan struct{})
+		c.entries[0].agents.delayAnswers(agentAddress(a.name), released)
+		time.Sleep(400 * time.Millisecond) // Until the stop was answered.
+		a.refuseStop = func() error { return host.ErrUnhealthy }
+		a.machine.Executor().Crash()
+		next := c.newExecutor(a.name, 2)
+		checker.Watch(next)
+		a.machine.SetExecutor(next)
+		heartbeat := next.Heartbeat("s", "r1-0", 100)
+		heartbeat.Draining, heartbeat.DrainRemaining = true, time.Minute
+		if err := a.process.Heartbeat(c.ctx, heartbeat); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(500 * time.Millisecond)
+		close(released)
+		time.Sleep(500 * time.Millisecond)
+		if err := a.machine.Worker().Start(c.ctx, late); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		a.refuseStop = nil
+		a.loseStarts.Store(false)
+		c.await(60*time.Second, shop.Done, "a")
+		c.reportViolations(checker)
+	})
+}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -277,7 +277,7 @@
 			if err != nil {
 				ap.handleOrderError(members, err)
 			} else {
-				ap.applyResults(members, resp.Msg.GetResults())
+				ap.applyResults(members, req.GetLifetime(), resp.Msg.GetResults())
 			}
 			ap.mu.Unlock()
 			ap.wake()
@@ -346,8 +346,8 @@
 	}
 }
 
-// applyResults applies the results of the starts and stops of an order call.
-func (ap *activePlanner) applyResults(members []*member, results []*pb.OrderResult) {
+// applyResults applies the results of the starts and stops of an order call for a lifetime.
+func (ap *activePlanner) applyResults(members []*member, lifetime string, results []*pb.OrderResult) {
 	for i, m := range members {
 		m.orderInFlight = false
 		if i >= len(results) || ap.members[m.task] != m {
@@ -371,6 +371,9 @@
 				Msg("A start was refused; stopping the run before the next one.")
 			ap.requestUnitStop(m.job, m.key)
 		case pb.Outcome_OUTCOME_ABSENT:
+			if m.laterLifetime != "" && m.laterLifetime != lifetime {
+				continue // A start can still take effect in the later one.
+			}
 			if !result.GetEndsSeen() {
 				m.worker.unprovenAbsences = append(m.worker.unprovenAbsences, absence{m, clock.Now()})
 				continue
