host: planners of earlier versions aren't told of an unproven refusal

While entries and agents of two versions run beside each other, a worker refuses a start and the stop that is to bar it. The agent answers that the start was refused and may have been sent.

Such a planner, which names no agent in its calls, is now told that the outcome is unknown. It then stops the run before the next one, as for a start without an answer.

TestEarlierPlannerIsNotToldOfUnprovenRefusal failed before: OUTCOME_REFUSED for a planner that names no agent. The tests of internal/host pass.

--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -978,3 +978,36 @@
 		}
 	})
 }
+
+// A worker refuses a start and its stop, so nothing shows whether the run is there. A planner of an earlier version,
+// which names no agent, takes a refused run as over.
+func TestEarlierPlannerIsNotToldOfUnprovenRefusal(t *testing.T) {
+	tests := []struct {
+		agent string
+		want  pb.Outcome
+	}{
+		{"a", pb.Outcome_OUTCOME_REFUSED},
+		{"", pb.Outcome_OUTCOME_UNKNOWN},
+	}
+	for _, tt := range tests {
+		t.Run(tt.agent, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t)
+				f.renewFor(3400 * time.Millisecond)
+				lifetime := f.executor.Lifetime.String()
+				f.startExecutor(host.Lifetime{ID: "other", StartedUnixMS: 2})
+				resp, err := f.agent.Order(f.ctx, connect.NewRequest(&pb.OrderRequest{
+					Epoch: f.epoch, Lifetime: lifetime, Agent: tt.agent, AgentLife: "1",
+					Report: f.lastReport.GetReport(), Grant: durationpb.New(lease),
+					Starts: []*pb.StartTask{{Task: "j.0.0.0", Run: 1}},
+				}))
+				if err != nil {
+					t.Fatal(err)
+				}
+				if got := resp.Msg.GetResults()[0]; got.GetOutcome() != tt.want || got.GetUnsent() {
+					t.Errorf("start of a planner that calls the agent %q: %v, want %v", tt.agent, got, tt.want)
+				}
+			})
+		})
+	}
+}
--- a/internal/host/orders.go
+++ b/internal/host/orders.go
@@ -69,7 +69,11 @@
 func (a *Agent) barRefused(ctx context.Context, m *pb.OrderRequest, o *pb.StartTask, refusal error) *pb.OrderResult {
 	result := a.stopTasks(ctx, m.GetLifetime(), m.GetEpoch(), []*pb.StopTask{{Task: o.GetTask(), Run: o.GetRun()}})[0]
 	result.Detail = refusal.Error()
-	if result.GetOutcome() != pb.Outcome_OUTCOME_ABSENT {
+	switch {
+	case result.GetOutcome() == pb.Outcome_OUTCOME_ABSENT:
+	case m.GetAgent() == "": // A planner of an earlier version takes a refused run as over.
+		result.Outcome = pb.Outcome_OUTCOME_UNKNOWN
+	default:
 		result.Outcome = pb.Outcome_OUTCOME_REFUSED
 	}
 	return result
