host: a start that comes after a stop of its run isn't sent

A stop bars its run on the worker, so once the worker answers that the run isn't there, it is over for the planner. A worker that restarts under its id forgets that. A start that was held up until then, on its way to the agent or in the agent's repeat of a call, reached the new lifetime, as calls name the worker by its id and the agent hadn't heard of the restart: the run started while a later one was running elsewhere.

TestStartAfterStopReachesNoRestartedWorker failed in both of its cases ("the restarted worker runs [t]").

Now an agent remembers the stops that were delivered to it for a lease, refuses starts of their runs, and ends those in progress. Later starts are refused as too old, and another process of the agent refuses them anyway.

--- a/internal/host/handler.go
+++ b/internal/host/handler.go
@@ -145,8 +145,12 @@
 	return strings.ToLower(strings.TrimPrefix(o.String(), "OUTCOME_"))
 }
 
-// deliveries has the newest starts that were delivered to the agent.
-type deliveries map[delivery]*deliveryResult
+// deliveries has the newest starts and stops that were delivered to the agent. An order that is delivered later is
+// refused as too old, see orderLapsed.
+type deliveries struct {
+	starts map[delivery]*deliveredStart
+	stops  map[string]deliveredStop // By task.
+}
 
 // delivery names a start of a planner, which sends it only once.
 type delivery struct {
@@ -155,45 +159,88 @@
 	run      taskRun
 }
 
-// deliveryResult is the result of a start.
-type deliveryResult struct {
-	deliveredAt clock.Instant
-	done        chan struct{} // Closed when result is set.
-	result      *pb.OrderResult
+// deliveredStart is a start that was delivered.
+type deliveredStart struct {
+	at     clock.Instant
+	cancel context.CancelFunc
+	done   chan struct{} // Closed when result is set.
+	result *pb.OrderResult
+}
+
+// deliveredStop is the highest run of a task of which a stop was delivered.
+type deliveredStop struct {
+	at  clock.Instant
+	run int
 }
 
 // startFirst carries out a start the first time that it is delivered. Should it be delivered again, it returns
 // the same result: the planner may get either answer, and takes a refused run as over.
 func (a *Agent) startFirst(ctx context.Context, m *pb.OrderRequest, o *pb.StartTask) *pb.OrderResult {
-	d, first := a.addDelivery(delivery{m.GetLifetime(), m.GetEpoch(), taskRun{o.GetTask(), int(o.GetRun())}})
-	if first {
-		d.result = a.startTask(ctx, m, o)
-		close(d.done)
+	d := delivery{m.GetLifetime(), m.GetEpoch(), taskRun{o.GetTask(), int(o.GetRun())}}
+	startCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s, first, stopped := a.addStart(d, cancel)
+	switch {
+	case first && stopped:
+		s.result = &pb.OrderResult{
+			Task: o.GetTask(), Run: o.GetRun(), Outcome: pb.Outcome_OUTCOME_REFUSED, Unsent: true, Detail: "a stop of the run came first",
+		}
+		close(s.done)
+	case first:
+		s.result = a.startTask(startCtx, m, o)
+		close(s.done)
 	}
 	select {
-	case <-d.done:
-		return proto.Clone(d.result).(*pb.OrderResult)
+	case <-s.done:
+		return proto.Clone(s.result).(*pb.OrderResult)
 	case <-ctx.Done():
 		return &pb.OrderResult{Task: o.GetTask(), Run: o.GetRun(), Detail: "delivered again before it was answered"}
 	}
 }
 
-// addDelivery adds a delivery, and returns its result and whether it is the first one.
-func (a *Agent) addDelivery(d delivery) (r *deliveryResult, first bool) {
+// addStart records that a start was delivered. It returns the first delivery of it, whether this is the first,
+// and whether a stop of the run was delivered before.
+func (a *Agent) addStart(d delivery, cancel context.CancelFunc) (s *deliveredStart, first, stopped bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := clock.Now()
-	// A start that is delivered later is refused as too old, see orderLapsed.
-	maps.DeleteFunc(a.deliveries, func(_ delivery, r *deliveryResult) bool { return now > r.deliveredAt.Add(a.MaxLease) })
-	if r, ok := a.deliveries[d]; ok {
-		return r, false
+	a.forgetDeliveries()
+	stopped = d.run.run <= a.deliveries.stops[d.run.task].run
+	if s, ok := a.deliveries.starts[d]; ok {
+		return s, false, stopped
+	}
+	if a.deliveries.starts == nil {
+		a.deliveries.starts = make(map[delivery]*deliveredStart)
+	}
+	s = &deliveredStart{at: clock.Now(), cancel: cancel, done: make(chan struct{})}
+	a.deliveries.starts[d] = s
+	return s, true, stopped
+}
+
+// addStops records that stops were delivered, and ends the starts of their runs that are in progress. A worker
+// that has restarted no longer knows of a stop, and would start the run if its start reached it then.
+func (a *Agent) addStops(stops []*pb.StopTask) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.forgetDeliveries()
+	if a.deliveries.stops == nil {
+		a.deliveries.stops = make(map[string]deliveredStop)
 	}
-	if a.deliveries == nil {
-		a.deliveries = make(deliveries)
+	for _, o := range stops {
+		run := max(int(o.GetRun()), a.deliveries.stops[o.GetTask()].run)
+		a.deliveries.stops[o.GetTask()] = deliveredStop{clock.Now(), run}
+		for d, s := range a.deliveries.starts {
+			if d.run.task == o.GetTask() && d.run.run <= run {
+				s.cancel()
+			}
+		}
 	}
-	r = &deliveryResult{deliveredAt: now, done: make(chan struct{})}
-	a.deliveries[d] = r
-	return r, true
+}
+
+// forgetDeliveries removes the deliveries of orders that are refused as too old by now. The caller holds the lock.
+func (a *Agent) forgetDeliveries() {
+	old := clock.Now().Add(-a.MaxLease)
+	maps.DeleteFunc(a.deliveries.starts, func(_ delivery, s *deliveredStart) bool { return s.at < old })
+	maps.DeleteFunc(a.deliveries.stops, func(_ string, s deliveredStop) bool { return s.at < old })
 }
 
 // Order starts and stops tasks.
@@ -205,6 +252,7 @@
 	a.mu.Lock()
 	a.applyStoredEnd(m.GetLifetime(), m.GetStoredEnd())
 	a.mu.Unlock()
+	a.addStops(m.GetStops())
 	results := make([]*pb.OrderResult, len(m.GetStarts()))
 	var group errgroup.Group
 	group.SetLimit(maxParallelCalls)
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"os"
 	"sync/atomic"
@@ -1011,3 +1012,55 @@
 		})
 	}
 }
+
+// A start is held up on its way to the agent, or to the worker, until a stop has shown that the run never ran. By
+// then the worker has restarted under its id, and knows of no stop.
+func TestStartAfterStopReachesNoRestartedWorker(t *testing.T) {
+	for _, atWorker := range []bool{false, true} {
+		t.Run(fmt.Sprint("held up on the way to the worker ", atWorker), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t)
+				lost := make(chan struct{})
+				start := f.agent.Worker.Start
+				f.agent.Worker.Start = func(ctx context.Context, s host.Start) error {
+					select {
+					case <-lost:
+					case <-ctx.Done():
+					}
+					if ctx.Err() != nil { // Such a call is not sent.
+						return ctx.Err()
+					}
+					return start(ctx, s)
+				}
+				f.renewFor(3 * time.Second)
+				order := &pb.OrderRequest{
+					Epoch: f.epoch, Lifetime: f.executor.Lifetime.String(), AgentLife: "1", Report: f.lastReport.GetReport(),
+					Grant: durationpb.New(lease), Starts: []*pb.StartTask{{Task: "t", Run: 1}},
+				}
+				answered := make(chan struct{})
+				deliver := func() {
+					if _, err := f.agent.Order(f.ctx, connect.NewRequest(order)); err != nil {
+						t.Error(err)
+					}
+					close(answered)
+				}
+				if atWorker {
+					go deliver()
+					synctest.Wait()
+				}
+				if got := f.stop("t", 1); got != pb.Outcome_OUTCOME_ABSENT {
+					t.Fatalf("stop: %v, want absent", got)
+				}
+				close(lost)
+				f.startExecutor(host.Lifetime{ID: "w", StartedUnixMS: 2})
+				if !atWorker {
+					deliver()
+				}
+				<-answered
+				if got := f.executor.Running(); len(got) != 0 {
+					t.Errorf("the restarted worker runs %v", got)
+				}
+			})
+		})
+	}
+}
