standin: a worker that can't be reached answers no call

A call that named another id was answered by the machine before it asked whether the executor had crashed or was silent, so a worker that "answers no calls" still told its agent which lifetime it isn't in.

TestUnreachableMachineDoesNotAnswer failed before, silent and crashed. The tests of internal/host, internal/dispatch and platform pass with it.

--- a/internal/standin/executor_test.go
+++ b/internal/standin/executor_test.go
@@ -1,6 +1,8 @@
 package standin
 
 import (
+	"context"
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -78,3 +80,29 @@
 		})
 	}
 }
+
+// Guards against a silent or crashed worker that still told callers of another lifetime that it is not theirs.
+func TestUnreachableMachineDoesNotAnswer(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		fail func(*Executor)
+	}{
+		{"silent", func(e *Executor) { e.Silence(true) }},
+		{"crashed", (*Executor).Crash},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				clock.OverrideNow(clock.VirtualNow)
+				var m Machine
+				m.SetExecutor(&Executor{Lifetime: host.Lifetime{ID: "w"}})
+				tt.fail(m.Executor())
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				_, err := m.Worker().Poll(ctx, host.PollRequest{Lifetime: host.Lifetime{ID: "other"}.String()})
+				if err == nil || errors.Is(err, host.ErrOtherLifetime) {
+					t.Errorf("poll: %v, want no answer", err)
+				}
+			})
+		})
+	}
+}
--- a/internal/standin/machine.go
+++ b/internal/standin/machine.go
@@ -23,7 +23,7 @@
 func (m *Machine) Worker() host.Worker {
 	return host.Worker{
 		Poll: func(ctx context.Context, request host.PollRequest) (host.WorkerState, error) {
-			e, err := m.executorFor(request.Lifetime)
+			e, err := m.executorFor(ctx, request.Lifetime)
 			if err != nil {
 				return host.WorkerState{}, err
 			}
@@ -31,7 +31,7 @@
 			return e.poll(ctx, request)
 		},
 		Start: func(ctx context.Context, s host.Start) error {
-			e, err := m.executorFor(s.Lifetime)
+			e, err := m.executorFor(ctx, s.Lifetime)
 			if err != nil {
 				return err
 			}
@@ -39,7 +39,7 @@
 			return e.start(ctx, s)
 		},
 		Stop: func(ctx context.Context, s host.Stop) error {
-			e, err := m.executorFor(s.Lifetime)
+			e, err := m.executorFor(ctx, s.Lifetime)
 			if err != nil {
 				return err
 			}
@@ -49,9 +49,12 @@
 	}
 }
 
-// executorFor returns the current executor if the given lifetime has the same id.
-func (m *Machine) executorFor(lifetime string) (*Executor, error) {
+// executorFor returns the current executor if it can be reached and the given lifetime has the same id.
+func (m *Machine) executorFor(ctx context.Context, lifetime string) (*Executor, error) {
 	e := m.Executor()
+	if err := e.checkReachable(ctx); err != nil {
+		return nil, err
+	}
 	parsed, err := host.ParseLifetime(lifetime)
 	if err != nil {
 		return nil, err
