--- a/internal/explain/report.go
+++ b/internal/explain/report.go
@@ -27,6 +27,7 @@
 	"Lost the store for writing.", "The store takes writes again.", "Lost the journal.", "Reading the journal again.",
 	"Stepping up as the planner.", "Stopped planning.", "Resigned as the planner.", "Lost an agent.", "An agent is back.",
 	"The worker doesn't answer.", "The worker answers again.", "The worker's lifetime is over.", "The worker is draining.",
+	"The worker has announced a new lifetime.", "A worker has another lifetime.", "Put off a heartbeat for a lifetime that the worker doesn't confirm.",
 	"A worker fails the jobs of others; it gets none for a while.", "A configuration is in force.",
 	"Starting an entry.", "Stopped an entry.", "Starting an agent.", "Stopped an agent.",
 }
