--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -114,7 +114,7 @@
 	w.cancelCalls = cancel
 	client := ap.Dial(a.Address)
 	ap.group.Go(func() error {
-		ap.watch(ctx, w, client.Watch)
+		ap.watch(ctx, w, a.Address, client.Watch)
 		return nil
 	})
 	ap.group.Go(func() error {
@@ -207,8 +207,8 @@
 // watchFunc is the Watch call of an agent.
 type watchFunc func(context.Context, *connect.Request[pb.WatchRequest]) (*connect.Response[pb.WatchResponse], error)
 
-// watch renews the lease of a worker and applies its reports until ctx ends.
-func (ap *activePlanner) watch(ctx context.Context, w *worker, call watchFunc) {
+// watch renews the lease of a worker and applies the reports of its agent at an address until ctx ends.
+func (ap *activePlanner) watch(ctx context.Context, w *worker, address string, call watchFunc) {
 	lost := false
 	for ctx.Err() == nil {
 		sent := clock.Now()
@@ -218,7 +218,7 @@
 		if err != nil {
 			if ctx.Err() == nil && !lost {
 				lost = true
-				ap.Log.Warn().Err(err).Str("node", w.name).Str("address", w.address).Msg("Lost an agent.")
+				ap.Log.Warn().Err(err).Str("node", w.name).Str("address", address).Msg("Lost an agent.")
 			}
 			if clock.Pause(ctx, watchRetryDelay) != nil {
 				return
