--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -135,9 +135,9 @@
 	// beforeStart, if set, is called with each start before it reaches the worker.
 	beforeStart func(host.Start)
 	// answerStart, if set, returns what the process gets as the answer to a start, given the worker's.
-	answerStart func(error) error
+	answerStart atomic.Pointer[func(error) error]
 	// refuseStop, if set, returns an error for a stop that doesn't reach the worker.
-	refuseStop func() error
+	refuseStop atomic.Pointer[func() error]
 	// loseStarts makes starts be lost on their way to the worker.
 	loseStarts atomic.Bool
 	thawed     atomic.Pointer[chan struct{}] // Closed when polls of a frozen agent make progress again.
@@ -198,14 +198,14 @@
 			return ctx.Err()
 		}
 		err := a.call(ctx, running, func(ctx context.Context) error { return start(ctx, s) })
-		if a.answerStart != nil {
-			err = a.answerStart(err)
+		if answer := a.answerStart.Load(); answer != nil {
+			err = (*answer)(err)
 		}
 		return err
 	}
 	w.Stop = func(ctx context.Context, s host.Stop) error {
-		if a.refuseStop != nil {
-			if err := a.refuseStop(); err != nil {
+		if refuse := a.refuseStop.Load(); refuse != nil {
+			if err := (*refuse)(); err != nil {
 				return err
 			}
 		}
--- a/internal/dispatch/lifetime_test.go
+++ b/internal/dispatch/lifetime_test.go
@@ -127,7 +127,8 @@
 		released := make(chan struct{})
 		c.entries[0].agents.delayAnswers(agentAddress(a.name), released)
 		time.Sleep(400 * time.Millisecond) // Until the stop was answered.
-		a.refuseStop = func() error { return host.ErrUnhealthy }
+		refuseStop := func() error { return host.ErrUnhealthy }
+		a.refuseStop.Store(&refuseStop)
 		a.machine.Executor().Crash()
 		next := c.newExecutor(a.name, 2)
 		checker.Watch(next)
@@ -144,7 +145,7 @@
 			t.Fatal(err)
 		}
 		time.Sleep(time.Second)
-		a.refuseStop = nil
+		a.refuseStop.Store(nil)
 		a.loseStarts.Store(false)
 		c.await(60*time.Second, shop.Done, "a")
 		c.reportViolations(checker)
--- a/internal/dispatch/refused_test.go
+++ b/internal/dispatch/refused_test.go
@@ -28,19 +28,21 @@
 				checker := c.watchRuns()
 				time.Sleep(3 * time.Second)
 				a := c.agents[0]
-				a.answerStart = func(err error) error {
+				answerStart := func(err error) error {
 					if err != nil {
 						return err
 					}
 					return tt.answer
 				}
 				began := time.Now()
-				a.refuseStop = func() error {
+				refuseStop := func() error {
 					if time.Since(began) < tt.refuses {
 						return host.ErrUnhealthy
 					}
 					return nil
 				}
+				a.answerStart.Store(&answerStart)
+				a.refuseStop.Store(&refuseStop)
 				var jobs []string
 				for i := range 6 {
 					jobs = append(jobs, fmt.Sprint("job", i))
