--- a/internal/standin/executor.go
+++ b/internal/standin/executor.go
@@ -54,6 +54,7 @@
 	lapsedEnd   uint64          // Ended runs up to this number had ended when the lease lapsed.
 	down        bool
 	silent      bool
+	cutOff      bool
 	failing     bool
 }
 
@@ -133,6 +134,13 @@
 	e.silent = silent
 }
 
+// CutOff makes connections to the executor fail while it keeps running tasks, or work again.
+func (e *Executor) CutOff(cut bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cutOff = cut
+}
+
 // FailAll sets whether runs fail when their run time is over.
 func (e *Executor) FailAll(failing bool) {
 	e.mu.Lock()
@@ -285,7 +293,7 @@
 // ctx is done.
 func (e *Executor) checkReachable(ctx context.Context) error {
 	e.mu.Lock()
-	down, silent := e.down, e.silent
+	down, silent := e.down || e.cutOff, e.silent
 	e.mu.Unlock()
 	if down {
 		return errUnreachable
