dispatch: a new planner doesn't take a lease as lapsed that another process may have renewed

Two processes of an agent are up, and the planner's calls reach either of them. One gets no answer from the worker for longer than a lease, and lists its lifetime as over; the other has just renewed the lease. The planner allows for that when it sees the process change, but one that steps up then knows of one process only. It took the runs as over at once, and their tasks ran twice.

A planner now counts the lease from when it has stepped up as well, as it does for a worker that it can't reach. A lifetime that is listed as over is over at once if the worker answers in another one, also within that time.

The cost: in the first 10 s of a planner, what ran on a worker that has left, or whose lease its agent calls lapsed, starts again up to 10 s later.

The tests of internal/dispatch pass.

--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -12,11 +12,8 @@
 // applyReport applies an agent's report, given when it was asked for.
 func (ap *activePlanner) applyReport(w *worker, m *pb.WatchResponse, asked clock.Instant) {
 	now := clock.Now()
-	if m.GetAgentLife() != w.agentIncarnation { // The process before may have renewed any lease until now.
-		if w.agentIncarnation != "" {
-			w.otherLeaseEnd = ap.leaseEndAfter(w.receivedAt)
-		}
-		w.lifetimeSince = now
+	if m.GetAgentLife() != w.agentIncarnation { // Another process may have renewed the lease, also for an earlier planner.
+		w.otherLeaseEnd, w.lifetimeSince = ap.leaseEnd(w), now
 	}
 	w.agentIncarnation, w.reportNumber, w.reportVersion, w.askedAt = m.GetAgentLife(), m.GetReport(), m.GetVersion(), asked
 	// An agent that was silent may have been frozen, and reports what it knew before.
--- a/internal/dispatch/twins_test.go
+++ b/internal/dispatch/twins_test.go
@@ -88,11 +88,25 @@
 // Two processes of an agent are up, and the planner's calls reach either of them. Each at times gets no answer
 // from the worker for longer than a lease. No task runs twice at once or after its end was acknowledged.
 func TestTwoProcessesOfOneAgent(t *testing.T) {
+	testTwoProcesses(t, func(*cluster, *rand.Rand) {})
+}
+
+// As TestTwoProcessesOfOneAgent, and planners are killed, whose successors don't know which process had renewed the
+// lease.
+func TestTwoProcessesOfOneAgentWhilePlannersChange(t *testing.T) {
+	testTwoProcesses(t, func(c *cluster, random *rand.Rand) {
+		if random.IntN(3) == 0 {
+			c.restartEntry(c.awaitPlanner())
+		}
+	})
+}
+
+func testTwoProcesses(t *testing.T, disrupt func(*cluster, *rand.Rand)) {
 	for seed := range uint64(*twinSeeds) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			withVirtualTime(t, func(t *testing.T) {
 				random := rand.New(rand.NewPCG(seed, 0))
-				c := newCluster(t, 2, 2)
+				c := newCluster(t, 3, 2)
 				checker := c.watchRuns()
 				a := c.agents[0]
 				a.kill()
@@ -113,9 +127,12 @@
 					defer mu.Unlock()
 					alone = i
 				}
-				for _, e := range c.entries {
-					e.agents.choose(agentAddress(a.name), choose)
+				chooseProcess := func() {
+					for _, e := range c.entries {
+						e.agents.choose(agentAddress(a.name), choose)
+					}
 				}
+				chooseProcess()
 				time.Sleep(3 * time.Second)
 				var jobs []string
 				for i := range 10 {
@@ -123,6 +140,8 @@
 					jobs = append(jobs, id)
 					c.submit(id, "red", "batch", many(task(1+20*random.Float64(), 1), 1+random.IntN(4)))
 					time.Sleep(time.Duration(random.IntN(4000)) * time.Millisecond)
+					disrupt(c, random)
+					chooseProcess()
 					setAlone(random.IntN(3) - 1)
 					if random.IntN(2) == 0 {
 						twins[random.IntN(2)].silence(time.Duration(random.IntN(15000)) * time.Millisecond)
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -153,14 +153,15 @@
 }
 
 // lifetimeEnded reports whether a lifetime of the worker is known to be over. An agent may take one as over as
-// the lease has lapsed, which it can't tell if another process of the agent has renewed the lease. A restarted
-// agent may take up a lifetime that another writer announced, so only one in which the worker answers replaces
-// others.
+// the lease has lapsed, which it can't tell if another process of the agent has renewed the lease; it can if the
+// worker answers in another lifetime. A restarted agent may take up a lifetime that another writer announced, so
+// only one in which the worker answers replaces others.
 func (w *worker) lifetimeEnded(lifetime string) bool {
-	if clock.Now() > w.otherLeaseEnd && slices.Contains(w.endedLifetimes, lifetime) {
+	replaced := w.answered && w.lifetime != "" && w.lifetime != lifetime
+	if (replaced || clock.Now() > w.otherLeaseEnd) && slices.Contains(w.endedLifetimes, lifetime) {
 		return true
 	}
-	if w.lifetime == "" || w.lifetime == lifetime || !w.answered {
+	if !replaced {
 		return false
 	}
 	now, err1 := host.ParseLifetime(w.lifetime)
@@ -185,12 +186,7 @@
 // leaseEnd returns when the worker's lease has ended for certain. An older planner may have
 // granted a full lease at any time before this one stepped up.
 func (ap *activePlanner) leaseEnd(w *worker) clock.Instant {
-	return ap.leaseEndAfter(max(w.receivedAt, ap.startedAt))
-}
-
-// leaseEndAfter returns when a lease has ended for certain that was last granted for a report received at a time.
-func (ap *activePlanner) leaseEndAfter(received clock.Instant) clock.Instant {
-	return received.Add(ap.Lease + ap.StopTimeout + leaseSlack)
+	return max(w.receivedAt, ap.startedAt).Add(ap.Lease + ap.StopTimeout + leaseSlack)
 }
 
 // grant returns how long the lease may last from when the newest report was sent. The lease ends at most
