host, dispatch: a worker that has left is gone for a new planner at once

Since a new planner allows for a lease that another process of an agent may have renewed, tasks of a worker that had left or been replaced by then waited for it, up to ten seconds. Agents now tell these lifetimes apart from those whose lease has lapsed as far as they know (WatchResponse.gone).

TestTasksOfLeftWorkerRunElsewhereAtOnceAfterTakeover fails without it ("1 starts 4 s after the worker has left, want 2").

--- a/internal/dispatch/lifetime_test.go
+++ b/internal/dispatch/lifetime_test.go
@@ -151,3 +151,28 @@
 		c.reportViolations(checker)
 	})
 }
+
+// A worker leaves while planners change. A new planner must not wait for a lease that another process of the agent
+// may have renewed: the worker has ended for certain.
+func TestTasksOfLeftWorkerRunElsewhereAtOnceAfterTakeover(t *testing.T) {
+	withVirtualTime(t, func(t *testing.T) {
+		c := newCluster(t, 2, 2)
+		time.Sleep(3 * time.Second)
+		c.submit("a", "red", "batch", task(20, 8))
+		time.Sleep(time.Second)
+		c.killPlanner()
+		a := c.agents[0]
+		a.mute.Store(true)
+		leaving := a.machine.Executor().Heartbeat("s", "r1-0", 100)
+		leaving.Draining = true
+		if err := a.process.Heartbeat(c.ctx, leaving); err != nil {
+			t.Fatal(err)
+		}
+		a.process.Leave(leaving.Lifetime.ID)
+		a.machine.Executor().Crash()
+		time.Sleep(4 * time.Second)
+		if n := c.runs.count("a.0.0.0"); n != 2 {
+			t.Errorf("%d starts 4 s after the worker has left, want 2", n)
+		}
+	})
+}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -19,7 +19,7 @@
 	// An agent that was silent may have been frozen, and reports what it knew before.
 	observed := min(now.Sub(w.receivedAt), maxReportInterval)
 	w.receivedAt = now
-	w.endedLifetimes = m.GetOver()
+	w.endedLifetimes, w.goneLifetimes = m.GetOver(), m.GetGone()
 	w.unreachable, w.answered = m.GetUnreachable(), m.GetLooked()
 	h := m.GetWorker()
 	if l := h.GetLifetime(); l != w.lifetime {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -75,6 +75,7 @@
 	drainUntil       clock.Instant // A draining worker stays at least until then.
 	unreachable      bool          // The worker doesn't answer its agent.
 	endedLifetimes   []string
+	goneLifetimes    []string    // Those of them that are over whoever has renewed the lease.
 	appliedEnds      endPosition // Run ends that this planner has applied.
 	storedEnds       endPosition // Run ends that are in the journal.
 	toldEnd          uint64      // Of them, those that the agent has been told of, if that call wasn't lost.
@@ -154,9 +155,12 @@
 
 // lifetimeEnded reports whether a lifetime of the worker is known to be over. An agent may take one as over as
 // the lease has lapsed, which it can't tell if another process of the agent has renewed the lease; it can if the
-// worker answers in another lifetime. A restarted agent may take up a lifetime that another writer announced, so
-// only one in which the worker answers replaces others.
+// worker has left, or answers in another lifetime. A restarted agent may take up a lifetime that another writer
+// announced, so only one in which the worker answers replaces others.
 func (w *worker) lifetimeEnded(lifetime string) bool {
+	if slices.Contains(w.goneLifetimes, lifetime) {
+		return true
+	}
 	replaced := w.answered && w.lifetime != "" && w.lifetime != lifetime
 	if (replaced || clock.Now() > w.otherLeaseEnd) && slices.Contains(w.endedLifetimes, lifetime) {
 		return true
--- a/internal/host/handler.go
+++ b/internal/host/handler.go
@@ -116,7 +116,7 @@
 	now := clock.Now()
 	out := &pb.WatchResponse{
 		Report: a.lease.nextReport(now), AgentLife: a.Incarnation, Version: a.version,
-		Over: slices.Clone(a.endedLifetimes), Unreachable: a.unreachable, Looked: a.polledAt != 0, MoreEnded: a.moreEnded,
+		Unreachable: a.unreachable, Looked: a.polledAt != 0, MoreEnded: a.moreEnded,
 		Worker: &pb.HostedWorker{
 			Lifetime: a.lifetime.String(), Service: a.heartbeat.Service, Rack: a.heartbeat.Rack, Zone: a.heartbeat.Zone,
 			Labels: a.heartbeat.Labels, MilliCores: int64(a.heartbeat.Resources.MilliCores),
@@ -124,6 +124,12 @@
 			Draining: a.heartbeat.Draining,
 		},
 	}
+	for _, l := range a.endedLifetimes {
+		out.Over = append(out.Over, l.lifetime)
+		if l.gone {
+			out.Gone = append(out.Gone, l.lifetime)
+		}
+	}
 	if a.heartbeat.Draining {
 		out.Worker.DrainLeft = durationpb.New(max(0, a.drainUntil.Sub(now)))
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -82,7 +82,7 @@
 	// gone has when the worker had first shown that a run which it had been told to stop is not running, for each
 	// such run whose end may follow.
 	gone           map[taskRun]clock.Instant
-	endedLifetimes []string
+	endedLifetimes []endedLifetime
 	// lifetimeReport is the newest report that was sent before the worker answered in the current lifetime.
 	lifetimeReport uint64
 	lease          lease
@@ -243,9 +243,9 @@
 		return
 	}
 	if a.lifetime.ID != "" {
-		a.endLifetime(a.lifetime, "the worker is in another one")
+		a.endLifetime(a.lifetime, true, "the worker is in another one")
 	}
-	a.endedLifetimes = slices.DeleteFunc(a.endedLifetimes, func(o string) bool { return o == l.String() })
+	a.endedLifetimes = slices.DeleteFunc(a.endedLifetimes, func(o endedLifetime) bool { return o.lifetime == l.String() })
 	a.lifetime = l
 	a.lifetimeReport = a.lease.lastReport
 	a.resetState()
@@ -260,9 +260,15 @@
 	a.lease.reset()
 }
 
-// endLifetime records that a lifetime is over, or at least all that ran in it. The caller holds the lock.
-func (a *Agent) endLifetime(l Lifetime, why string) {
-	a.endedLifetimes = append(a.endedLifetimes, l.String())
+// endedLifetime is a lifetime that is over, or at least all that ran in it.
+type endedLifetime struct {
+	lifetime string
+	gone     bool // It is over also if another process of the agent has renewed the lease.
+}
+
+// endLifetime records that a lifetime is over. The caller holds the lock.
+func (a *Agent) endLifetime(l Lifetime, gone bool, why string) {
+	a.endedLifetimes = append(a.endedLifetimes, endedLifetime{l.String(), gone})
 	if len(a.endedLifetimes) > maxEndedLifetimes {
 		a.endedLifetimes = a.endedLifetimes[1:]
 	}
@@ -510,16 +516,16 @@
 		a.Log.Warn().Err(err).Stringer("lifetime", a.lifetime).Msg("The worker doesn't answer.")
 		a.notifyChange()
 	}
-	why := ""
+	why, gone := "", false
 	switch {
 	case a.leaving && errors.Is(err, ErrNotListening):
-		why = "it has left"
+		why, gone = "it has left", true
 	case !errors.Is(err, ErrUnhealthy) && a.lapsedForCertain(clock.Now()):
 		why = "its lease has lapsed"
 	default:
 		return
 	}
-	a.endLifetime(a.lifetime, why)
+	a.endLifetime(a.lifetime, gone, why)
 	a.lifetime = Lifetime{}
 	a.resetState()
 	a.notifyChange()
