dispatch: test that runs end once when workers restart under their id

Nothing restarted workers at random while calls are delayed and lost.

The stand-in for the agent's connections was wrong: it took a connection as open for polls that acknowledge ends once a poll had reached the worker, also when its answer was still on its way or lost. The transport uses a connection again only after the answer, and closes one on which a call has timed out; an agent has handled the answer by then, and acknowledges nothing if it shows another lifetime. Now only an answer counts, of whatever kind.

--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -170,17 +170,18 @@
 			r.AckedEnd, r.LeaseEnd, r.Wait = 0, 0, 0
 		}
 		reached := a.connect(running, r.AckedEnd > 0)
+		var asked atomic.Pointer[standin.Executor]
 		state, err := carry(ctx, a.network, func(ctx context.Context) (host.WorkerState, error) {
 			if err := reached(ctx); err != nil {
 				return host.WorkerState{}, err
 			}
-			connected := a.machine.Executor()
-			state, err := poll(ctx, r)
-			if !r.Probe {
-				a.polled.Store(connected)
-			}
-			return state, err
+			asked.Store(a.machine.Executor())
+			return poll(ctx, r)
 		})
+		// A connection on which a call was not answered is not used again.
+		if connected := asked.Load(); !r.Probe && connected != nil && !errors.Is(err, errLost) && ctx.Err() == nil {
+			a.polled.Store(connected)
+		}
 		if a.pause != nil {
 			a.pause.wait()
 		}
