entry: tries that were never claimed say nothing about another planner's attempt of that number

Cause: a planner whose claim of attempt 1 was voided, or that tried it without the log, kept the number as an attempt that is over and never ran. The number stays free in the log. A planner that started anew claimed it and started the job; the first took that attempt for its own, claimed the next number and started the job again, as an agent's refusal only moved it to another worker.

Change: a planner notes which attempts in the log it has claimed or taken into account. At any other, its own tries of that number and above are forgotten, and the attempt counts as one that may run.

TestUnclaimedNumberReused failed before (the job waited for a start beside attempt 1, which counted as one that never ran).

--- a/internal/entry/classify.go
+++ b/internal/entry/classify.go
@@ -116,6 +116,7 @@
 	if j.stepRunning {
 		return
 	}
+	j.noteRecordedAttempt(l.Attempt)
 	class, _ := config.Classes.Find(l.Class)
 	r, reported := p.runs.find(l.ID)
 	if reported && j.starting != nil && r.attempt >= j.starting.Attempt && j.started {
@@ -247,6 +248,21 @@
 	return false
 }
 
+// noteRecordedAttempt records the highest attempt in the log. If another planner has claimed it, this
+// planner's own tries of that number and later ones never held a claim, and say nothing about whether the
+// attempt runs.
+func (j *progress) noteRecordedAttempt(n int) {
+	if n <= j.recordedAttempt || j.starting != nil {
+		return
+	}
+	j.recordedAttempt = n
+	j.attempt = min(j.attempt, n)
+	j.endedAttempt = min(j.endedAttempt, n-1)
+	j.stoppedAttempt = min(j.stoppedAttempt, n-1)
+	j.neverRanAttempt = min(j.neverRanAttempt, n-1)
+	j.missingSince = time.Time{}
+}
+
 // noteNeverRan records that an attempt never ran. This says that the job never ran only
 // if the same is known of all earlier attempts.
 func (j *progress) noteNeverRan(attempt int) {
--- a/internal/entry/classify_test.go
+++ b/internal/entry/classify_test.go
@@ -150,3 +150,42 @@
 		}
 	}
 }
+
+// TestUnclaimedNumberReused guards against a job that must run at most once being started beside the attempt
+// of another planner: this planner's own tries of that number were refused before they were claimed.
+func TestUnclaimedNumberReused(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tests := []struct {
+		name    string
+		cause   error
+		tries   int
+		live    platform.LiveJob
+		waiting bool
+	}{
+		{"claim voided, number free", platform.ErrNotAppended, 1, platform.LiveJob{}, true},
+		{"claim voided, number claimed by another", platform.ErrNotAppended, 1, platform.LiveJob{Attempt: 1}, false},
+		{"not claimed without the log, number claimed by another", shop.ErrUnavailable, 3, platform.LiveJob{Attempt: 1}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e := &Entry{Now: func() time.Time { return now }}
+			e.init()
+			p := &e.planner
+			config := &shop.Config{Classes: shop.ClassList{{Name: "ledger"}}}
+			tt.live.Job = shop.Job{ID: "t/j", Class: "ledger"}
+			j := p.progressOf("t/j")
+			for n := 1; n <= tt.tries; n++ {
+				j.attempt, j.starting = n, &queue.Running{Attempt: n}
+				p.recordStartResult("t/j", n, gang.Result{Outcome: gang.NotRun}, fmt.Errorf("planner.claimAndStart: %w", tt.cause))
+			}
+			v := queue.View{Now: now.Add(time.Second)}
+			p.addJobToView(t.Context(), &v, tt.live, config)
+			if waiting := len(v.Queued) > 0; waiting != tt.waiting {
+				t.Errorf("waiting for a start: %v, want %v: %+v", waiting, tt.waiting, v.Queued)
+			}
+			if tt.live.Attempt > 0 && j.neverRanAttempt >= tt.live.Attempt {
+				t.Errorf("attempt %d of another planner counts as one that never ran", tt.live.Attempt)
+			}
+		})
+	}
+}
--- a/internal/entry/planner.go
+++ b/internal/entry/planner.go
@@ -89,6 +89,8 @@
 type progress struct {
 	// attempt is the highest attempt that this planner has started.
 	attempt int
+	// recordedAttempt is the highest attempt in the log that the fields here account for.
+	recordedAttempt int
 	// endedAttempt is the highest attempt that is over, so that the job may be queued again.
 	endedAttempt int
 	// stoppedAttempt is the highest attempt that was ended at its agents. It may have run.
--- a/internal/entry/start.go
+++ b/internal/entry/start.go
@@ -118,9 +118,18 @@
 	if err := p.streams.jobs.ClaimAttempt(ctx, a, p.Name, workersOf(plan.Parts)...); err != nil {
 		return gang.Result{Outcome: gang.NotRun}, fmt.Errorf("planner.claimAndStart: %w", err)
 	}
+	p.noteClaimed(a)
 	return p.starter().Start(ctx, plan)
 }
 
+// noteClaimed records that this planner has claimed an attempt in the log.
+func (p *planner) noteClaimed(a shop.Attempt) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	j := p.progressOf(a.Job)
+	j.recordedAttempt = max(j.recordedAttempt, a.Number)
+}
+
 func workersOf(parts gang.PartList) []string {
 	var out []string
 	for _, m := range parts.Members() {
