platform: a claim whose planner hasn't seen the claim before it has no effect

Two planners could hold attempts n and n+1 of a job at once, each unaware of the other. Listed in docs/design/faults.md as not covered before.

Change: a claim takes effect only if its writer had read the last one that did, by its as-of. Otherwise its number stays free, and the planner gets ErrAttemptClaimed.

The callers of ClaimAttempt in tests pass the attempt they know of; their checks are the same. TestAttemptClaimedOnce now also checks that the winner of an attempt had read of those won before; it failed before ("claim 2 as of 0 won attempt 2 beside claim 1 of attempt 1 at 1"), as did TestAttemptClaimedUnseen ("claim that didn't see the first: <nil>"). TestAttemptReadSincePlan is new.

--- a/internal/entry/start.go
+++ b/internal/entry/start.go
@@ -92,18 +92,21 @@
 	}
 	plan := p.gangPlan(s, job.Job, v.Config, j.checkpoint)
 	class, _ := v.Config.Classes.Find(job.Class)
+	known := j.recordedAttempt
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, startTimeout)
 		defer cancel()
-		result, err := p.claimAndStart(ctx, job.Job, plan, class)
+		result, err := p.claimAndStart(ctx, job.Job, plan, class, known)
 		p.recordStartResult(job.ID, s.Attempt.Number, result, err)
 	}()
 }
 
 // claimAndStart claims the attempt in the log, then starts the gang. While the log is
 // unavailable, only jobs that may run again are started, because two planners might start
-// the same attempt.
-func (p *planner) claimAndStart(ctx context.Context, job shop.Job, plan gang.Plan, class shop.Class) (gang.Result, error) {
+// the same attempt. The plan knows of the attempts in the log up to known.
+func (p *planner) claimAndStart(
+	ctx context.Context, job shop.Job, plan gang.Plan, class shop.Class, known int,
+) (gang.Result, error) {
 	if p.streams.unavailable() {
 		if !class.Idempotent {
 			return gang.Result{Outcome: gang.NotRun}, fmt.Errorf("planner.claimAndStart: the platform's log is unavailable: %w", shop.ErrUnavailable)
@@ -115,7 +118,7 @@
 		return result, err
 	}
 	a := shop.Attempt{Job: plan.Attempt.Job, Number: int(plan.Attempt.Number)}
-	if err := p.streams.jobs.ClaimAttempt(ctx, a, p.Name, workersOf(plan.Parts)...); err != nil {
+	if err := p.streams.jobs.ClaimAttempt(ctx, a, known, p.Name, workersOf(plan.Parts)...); err != nil {
 		return gang.Result{Outcome: gang.NotRun}, fmt.Errorf("planner.claimAndStart: %w", err)
 	}
 	p.noteClaimed(a)
--- a/internal/entry/unrecorded.go
+++ b/internal/entry/unrecorded.go
@@ -63,7 +63,7 @@
 				return err
 			}
 		}
-		err := p.streams.jobs.ClaimAttempt(ctx, shop.Attempt{Job: job.ID, Number: attempt}, p.Name)
+		err := p.streams.jobs.ClaimAttempt(ctx, shop.Attempt{Job: job.ID, Number: attempt}, attempt, p.Name)
 		if errors.Is(err, platform.ErrAttemptClaimed) {
 			return nil
 		}
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -19,11 +19,20 @@
 // noteAttempt updates the highest attempt from a record. The first record with a
 // number claims it, unless a higher number came before. A reader that doesn't
 // know the job yet records no claim for the number, because it may have missed
-// an earlier one.
+// an earlier one. A claim whose writer hadn't read the record of the previous
+// attempt has no effect: the writer can't know whether that attempt still runs.
 func (s *jobState) noteAttempt(r Record) {
 	if r.Job.Attempt <= s.attempt {
 		return
 	}
+	switch {
+	case r.Kind != KindJobAttempt:
+		s.attemptOffset = max(s.attemptOffset, r.Job.AttemptOffset)
+	case s.attemptOffset > 0 && s.attemptOffset >= r.AsOf:
+		return
+	default:
+		s.attemptOffset = r.Offset
+	}
 	s.attempt = r.Job.Attempt
 	s.workers = r.Job.Workers
 	s.claimID = ""
@@ -32,15 +41,19 @@
 	}
 }
 
-// ClaimAttempt claims an attempt for a planner; workers are where it is to run.
+// ClaimAttempt claims an attempt for a planner that knows of the attempts up to
+// known; workers are where it is to run.
 // It returns nil only after this reader has read the claim and seen that it came
 // first, so that two planners never start the same attempt. It fails with
 // ErrAttemptClaimed when the claim did not come first. An append of unknown
 // outcome is resolved: with ErrNotAppended the claim never takes effect, with
 // ErrOutcomeUnknown it may still use up the number without anybody holding it.
 // On any error the attempt must not be started.
-func (j *Jobs) ClaimAttempt(ctx context.Context, a shop.Attempt, planner string, workers ...string) error {
+func (j *Jobs) ClaimAttempt(ctx context.Context, a shop.Attempt, known int, planner string, workers ...string) error {
 	r := j.newRecord(KindJobAttempt, JobRecord{ID: a.Job, Attempt: a.Number, Planner: planner, Workers: workers})
+	if n := j.attemptAsOf(r); n > known {
+		return fmt.Errorf("platform.ClaimAttempt: job %s, attempt %d: attempt %d is in the log: %w", a.Job, a.Number, n, ErrAttemptClaimed)
+	}
 	offset, err := j.appendAndResolve(ctx, r)
 	if err != nil {
 		return fmt.Errorf("platform.ClaimAttempt: %w", err)
@@ -63,11 +76,22 @@
 	return nil
 }
 
+// attemptAsOf returns the highest attempt that this reader has read of the record's job. If it has read
+// on since the record was made, that may be an attempt that the record doesn't cover.
+func (j *Jobs) attemptAsOf(r Record) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if s := j.jobs[r.Job.ID]; s != nil {
+		return s.attempt
+	}
+	return 0
+}
+
 // checkClaim returns nil when a claim that this reader has read holds its attempt.
 func (j *Jobs) checkClaim(r Record, offset uint64) error {
 	s := j.jobs[r.Job.ID]
 	switch {
-	case offset < j.start || s == nil:
+	case offset < j.start || r.AsOf < j.start || s == nil:
 		return ErrRecordsTrimmed
 	case s.ended:
 		return ErrAttemptClaimed
--- a/internal/platform/attempt_test.go
+++ b/internal/platform/attempt_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
@@ -145,7 +146,8 @@
 	c.won = c.won || err == nil
 }
 
-// checkWinners checks that each attempt was won once at most.
+// checkWinners checks that each attempt was won once at most, and only by a planner that had read of the
+// attempts before it.
 func checkWinners(t *rapid.T, claims []*attemptClaim) {
 	winners := map[int]string{}
 	for _, c := range claims {
@@ -156,5 +158,59 @@
 			t.Fatalf("claims %s and %s both won attempt %d", c.ID, other, c.Job.Attempt)
 		}
 		winners[c.Job.Attempt] = c.ID
+		for _, earlier := range claims {
+			if earlier.won && earlier.offset < c.offset && earlier.offset >= c.AsOf {
+				t.Fatalf("claim %s as of %d won attempt %d beside claim %s of attempt %d at %d",
+					c.ID, c.AsOf, c.Job.Attempt, earlier.ID, earlier.Job.Attempt, earlier.offset)
+			}
+		}
+	}
+}
+
+// TestAttemptClaimedUnseen guards against a second attempt beside one that was claimed by another planner
+// since the claimant last read the log.
+func TestAttemptClaimedUnseen(t *testing.T) {
+	s := newStream()
+	claim := func(id string, attempt int, asOf uint64) Record {
+		r := Record{ID: id, Kind: KindJobAttempt, AsOf: asOf, Job: &JobRecord{ID: "job", Attempt: attempt}}
+		s.add(r)
+		return r
+	}
+	s.add(Record{ID: "job", Kind: KindJobAccepted, Job: &JobRecord{ID: "job", Job: &shop.Job{ID: "job"}}})
+	first := claim("first", 1, 1)
+	unseen := claim("unseen", 3, 1)
+	j := newJobReader()
+	s.read(&j.reader, allRecords)
+	if err := j.checkClaim(first, 1); err != nil {
+		t.Errorf("first claim: %v", err)
+	}
+	if err := j.checkClaim(unseen, 2); !errors.Is(err, ErrAttemptClaimed) {
+		t.Errorf("claim that didn't see the first: %v", err)
+	}
+	j.CaughtUp()
+	if l := j.Live(); len(l) != 1 || l[0].Attempt != 1 {
+		t.Errorf("live jobs: %+v", l)
 	}
+	again := claim("again", 2, 3)
+	s.read(&j.reader, allRecords)
+	if err := j.checkClaim(again, 3); err != nil {
+		t.Errorf("claim that saw the first: %v", err)
+	}
+}
+
+// TestAttemptReadSincePlan checks that a claim fails when this reader has read of an attempt that the
+// planner doesn't know of.
+func TestAttemptReadSincePlan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newTestEntry(t)
+		if err := e.jobs.ClaimAttempt(e.ctx, shop.Attempt{Job: "job", Number: 1}, 0, "entry"); err != nil {
+			t.Fatal(err)
+		}
+		if err := e.jobs.ClaimAttempt(e.ctx, shop.Attempt{Job: "job", Number: 2}, 0, "entry"); !errors.Is(err, ErrAttemptClaimed) {
+			t.Errorf("planner that knows no attempt: %v", err)
+		}
+		if err := e.jobs.ClaimAttempt(e.ctx, shop.Attempt{Job: "job", Number: 2}, 1, "entry"); err != nil {
+			t.Errorf("planner that knows the attempt: %v", err)
+		}
+	})
 }
--- a/internal/platform/faults_test.go
+++ b/internal/platform/faults_test.go
@@ -58,7 +58,7 @@
 	{
 		name: "ClaimAttempt",
 		do: func(e *testEntry, ctx context.Context) error {
-			return e.jobs.ClaimAttempt(ctx, shop.Attempt{Job: "job", Number: 1}, "entry")
+			return e.jobs.ClaimAttempt(ctx, shop.Attempt{Job: "job", Number: 1}, 1, "entry")
 		},
 		done:     func(e *testEntry) bool { return e.find().Attempt == 1 },
 		retryErr: ErrAttemptClaimed,
--- a/internal/platform/jobs.go
+++ b/internal/platform/jobs.go
@@ -63,6 +63,9 @@
 type jobState struct {
 	job     *shop.Job
 	attempt int
+	// attemptOffset is the offset of the last claim that took effect; 0 when this
+	// reader has read none.
+	attemptOffset uint64
 	// claimID is the id of the record that claimed the highest attempt; empty when
 	// this reader can't tell.
 	claimID string
@@ -137,7 +140,7 @@
 	for id, s := range j.jobs {
 		// Claims of attempts in the old log stay valid: no record of the new log
 		// may claim the same number.
-		s.claimID, s.refreshed, s.lastOffset = "", time.Time{}, first
+		s.claimID, s.attemptOffset, s.refreshed, s.lastOffset = "", 0, time.Time{}, first
 		j.pruneQueue = append(j.pruneQueue, pruneEntry{offset: first, job: id})
 	}
 }
@@ -198,6 +201,10 @@
 	s := j.state(r)
 	if s.job == nil {
 		s.job = r.Job.Job
+		if r.Job.Attempt > 0 && s.attemptOffset < r.AsOf {
+			// A claim that was read without knowing the job may have had no effect.
+			s.attempt, s.attemptOffset = 0, 0
+		}
 	}
 	s.noteAttempt(r)
 	s.cancelled = s.cancelled || r.Job.Cancelled
@@ -249,7 +256,9 @@
 			ID:   uuid.NewString(),
 			Kind: KindJobAccepted,
 			AsOf: j.next,
-			Job:  &JobRecord{ID: id, Job: s.job, Attempt: s.attempt, Workers: s.workers, Cancelled: s.cancelled},
+			Job: &JobRecord{
+				ID: id, Job: s.job, Attempt: s.attempt, AttemptOffset: s.attemptOffset, Workers: s.workers, Cancelled: s.cancelled,
+			},
 		})
 	}
 	return l
--- a/internal/platform/record.go
+++ b/internal/platform/record.go
@@ -80,6 +80,8 @@
 	// Attempt is the highest attempt number claimed so far; in a record of kind
 	// KindJobAttempt, the number that it claims.
 	Attempt int `json:"attempt,omitempty"`
+	// AttemptOffset is, in a snapshot, the offset of the claim of Attempt.
+	AttemptOffset uint64 `json:"attempt-offset,omitempty"`
 	// Cancelled says, in a snapshot, that cancellation was requested and the job
 	// has not ended.
 	Cancelled bool `json:"cancelled,omitempty"`
--- a/internal/platform/restore_test.go
+++ b/internal/platform/restore_test.go
@@ -202,7 +202,7 @@
 func TestLogReplaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := newTestEntry(t)
-		if err := e.jobs.ClaimAttempt(e.ctx, shop.Attempt{Job: "job", Number: 1}, "entry"); err != nil {
+		if err := e.jobs.ClaimAttempt(e.ctx, shop.Attempt{Job: "job", Number: 1}, 1, "entry"); err != nil {
 			t.Fatal(err)
 		}
 		for _, id := range []string{"ended", "other"} {
@@ -222,7 +222,7 @@
 		if got, err := e.claims.Claim(e.ctx, Claim{Team: "t", Key: "k", Request: "again"}); err != nil || got.Won || got.Holder != e.claimResult.Holder {
 			t.Errorf("Claim: %+v, %v", got, err)
 		}
-		if err := e.jobs.ClaimAttempt(e.ctx, shop.Attempt{Job: "job", Number: 1}, "entry"); !errors.Is(err, ErrRecordsTrimmed) {
+		if err := e.jobs.ClaimAttempt(e.ctx, shop.Attempt{Job: "job", Number: 1}, 1, "entry"); !errors.Is(err, ErrRecordsTrimmed) {
 			t.Errorf("ClaimAttempt of an attempt claimed in the old log: %v", err)
 		}
 		for _, r := range e.jobs.Due(time.Unix(1, 0), allRecords) {
