host: barring refused starts takes no longer than an order may

An order can have 64 starts. If its worker refused them and their stops, the agent's answer took up to 5.6 s, by reading (eight at a time, 0.7 s each); after 2.5 s the planner stops all runs of the order, also those that were started. Each bar takes 0.2 s at most now, and a look that follows no accepted stop is not made.

--- a/internal/host/orders.go
+++ b/internal/host/orders.go
@@ -20,6 +20,9 @@
 	maxStartAttempts = 2
 	// stopTimeout bounds one stop call to the worker.
 	stopTimeout = 350 * time.Millisecond
+	// barTimeout bounds the calls that bar a run whose start was refused. An order may have
+	// 64 of them, and its answer is awaited for 2.5 s.
+	barTimeout = 200 * time.Millisecond
 	// maxParallelCalls bounds the concurrent start calls of an order, and likewise its stop calls.
 	maxParallelCalls = 8
 	// minStartLease is the shortest remaining lease with which a start is worth sending.
@@ -67,6 +70,8 @@
 // the worker has accepted the stop and doesn't list the run after it. The answer to the start doesn't prove as
 // much: whoever gave it may not know of an earlier attempt, or may stand between.
 func (a *Agent) barRefused(ctx context.Context, m *pb.OrderRequest, o *pb.StartTask, refusal error) *pb.OrderResult {
+	ctx, cancel := context.WithTimeout(ctx, barTimeout)
+	defer cancel()
 	result := a.stopTasks(ctx, m.GetLifetime(), m.GetEpoch(), []*pb.StopTask{{Task: o.GetTask(), Run: o.GetRun()}})[0]
 	result.Detail = refusal.Error()
 	switch {
@@ -160,6 +165,10 @@
 		})
 	}
 	_ = group.Wait() // The functions report errors in their results.
+	accepted := func(r *pb.OrderResult) bool { return r.GetOutcome() == pb.Outcome_OUTCOME_STOPPING }
+	if !slices.ContainsFunc(results, accepted) {
+		return results
+	}
 
 	acked := a.ackableEndOf(lifetime)
 	var state WorkerState
@@ -176,7 +185,7 @@
 		return results
 	}
 	for _, r := range results {
-		if r.GetOutcome() == pb.Outcome_OUTCOME_STOPPING && a.isAbsent(state, lifetime, taskRun{r.GetTask(), int(r.GetRun())}) {
+		if accepted(r) && a.isAbsent(state, lifetime, taskRun{r.GetTask(), int(r.GetRun())}) {
 			r.Outcome, r.EndsSeen = pb.Outcome_OUTCOME_ABSENT, true
 		}
 	}
