--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -75,7 +75,7 @@
 	drainUntil       clock.Instant // A draining worker stays at least until then.
 	unreachable      bool          // The worker doesn't answer its agent.
 	endedLifetimes   []string
-	goneLifetimes    []string    // Those of them that are over whoever has renewed the lease.
+	goneLifetimes    []string    // Those of them that are over even if another process has renewed the lease.
 	appliedEnds      endPosition // Run ends that this planner has applied.
 	storedEnds       endPosition // Run ends that are in the journal.
 	toldEnd          uint64      // Of them, those that the agent has been told of, if that call wasn't lost.
@@ -174,8 +174,8 @@
 }
 
 // notRenewed reports whether the agent was in no contact with the lifetime of a member for longer than any lease,
-// so that nobody has renewed that one's. It may have been in contact since its newest report, and so that counts,
-// not the time. A member that may be running in a later lifetime is left to its stop there.
+// so that the lease there was not renewed. It may have been in contact since its newest report, so that report
+// counts, not the time. A member that may be running in a later lifetime is left to its stop there.
 func (ap *activePlanner) notRenewed(m *member) bool {
 	w := m.worker
 	switch {
--- a/internal/host/orders.go
+++ b/internal/host/orders.go
@@ -68,7 +68,7 @@
 
 // barRefused stops a run whose start the worker has refused, and returns the start's result: the run is absent if
 // the worker has accepted the stop and doesn't list the run after it. The answer to the start doesn't prove as
-// much: whoever gave it may not know of an earlier attempt, or may stand between.
+// much: it may come from a proxy, or answer a repeat while an earlier attempt takes effect.
 func (a *Agent) barRefused(ctx context.Context, m *pb.OrderRequest, o *pb.StartTask, refusal error) *pb.OrderResult {
 	ctx, cancel := context.WithTimeout(ctx, barTimeout)
 	defer cancel()
