--- a/internal/dispatch/chaos_test.go
+++ b/internal/dispatch/chaos_test.go
@@ -34,10 +34,7 @@
 	e := c.entries[c.random.IntN(len(c.entries))]
 	switch c.random.IntN(10) {
 	case 0: // The worker crashes and restarts with the same id.
-		a.machine.Executor().Crash()
-		next := c.newExecutor(a.name, time.Now().UnixMilli())
-		c.checker.Watch(next)
-		a.machine.SetExecutor(next)
+		c.restartWorker(a, time.Now().UnixMilli(), &c.checker)
 		a.kill()
 		c.startAgentProcess(a, fmt.Sprintf("r1-%d", i/3))
 	case 1: // The agent loses power and restarts.
--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -911,13 +911,19 @@
 func (c *cluster) restartAtNextStart(a *agent, startedUnixMS int64, checker *standin.RunChecker) {
 	a.beforeStart = func(host.Start) {
 		a.beforeStart = nil
-		a.machine.Executor().Crash()
-		next := c.newExecutor(a.name, startedUnixMS)
-		checker.Watch(next)
-		a.machine.SetExecutor(next)
+		c.restartWorker(a, startedUnixMS, checker)
 	}
 }
 
+// restartWorker makes a worker crash and restart with the same id, and returns its new lifetime.
+func (c *cluster) restartWorker(a *agent, startedUnixMS int64, checker *standin.RunChecker) *standin.Executor {
+	a.machine.Executor().Crash()
+	next := c.newExecutor(a.name, startedUnixMS)
+	checker.Watch(next)
+	a.machine.SetExecutor(next)
+	return next
+}
+
 // watchRuns returns a checker that watches the workers of all agents.
 func (c *cluster) watchRuns() *standin.RunChecker {
 	checker := &standin.RunChecker{}
--- a/internal/dispatch/lifetime_test.go
+++ b/internal/dispatch/lifetime_test.go
@@ -129,11 +129,7 @@
 		time.Sleep(400 * time.Millisecond) // Until the stop was answered.
 		refuseStop := func() error { return host.ErrUnhealthy }
 		a.refuseStop.Store(&refuseStop)
-		a.machine.Executor().Crash()
-		next := c.newExecutor(a.name, 2)
-		checker.Watch(next)
-		a.machine.SetExecutor(next)
-		heartbeat := next.Heartbeat("s", "r1-0", 100)
+		heartbeat := c.restartWorker(a, 2, checker).Heartbeat("s", "r1-0", 100)
 		heartbeat.Draining, heartbeat.DrainRemaining = true, time.Minute
 		if err := a.process.Heartbeat(c.ctx, heartbeat); err != nil {
 			t.Fatal(err)
--- a/internal/dispatch/nextlifetime_test.go
+++ b/internal/dispatch/nextlifetime_test.go
@@ -60,10 +60,7 @@
 		}
 		time.Sleep(1500 * time.Millisecond)
 		a.loseStarts.Store(false)
-		a.machine.Executor().Crash()
-		next := c.newExecutor(a.name, 2)
-		checker.Watch(next)
-		a.machine.SetExecutor(next)
+		c.restartWorker(a, 2, checker)
 		_ = a.machine.Worker().Start(c.ctx, late) // A worker may refuse it.
 		time.Sleep(3 * time.Second)
 		c.await(60*time.Second, shop.Done, "a")
@@ -82,10 +79,7 @@
 				a := c.agents[0]
 				a.beforeStart = func(host.Start) {
 					a.beforeStart = nil
-					a.machine.Executor().Crash()
-					next := c.newExecutor(a.name, 2)
-					checker.Watch(next)
-					a.machine.SetExecutor(next)
+					c.restartWorker(a, 2, checker)
 					c.connect(a, false)
 					for _, e := range c.entries {
 						e.agents.delayReports(agentAddress(a.name), c.closedAfter(15*time.Second))
--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -21,12 +21,6 @@
 				checker := c.watchRuns()
 				time.Sleep(3 * time.Second)
 				c.network.setRandom(rand.New(rand.NewPCG(seed, 1)))
-				restart := func(a *agent, startedUnixMS int64) {
-					a.machine.Executor().Crash()
-					next := c.newExecutor(a.name, startedUnixMS)
-					checker.Watch(next)
-					a.machine.SetExecutor(next)
-				}
 				var jobs []string
 				for i := range int64(12) {
 					id := fmt.Sprint("job", i)
@@ -42,9 +36,9 @@
 					a := c.agents[random.IntN(len(c.agents))]
 					switch random.IntN(4) {
 					case 0:
-						restart(a, 1000+i)
+						c.restartWorker(a, 1000+i, checker)
 					case 1:
-						restart(a, -i)
+						c.restartWorker(a, -i, checker)
 					case 2:
 						a.kill()
 						c.startAgentProcess(a, "r1-0")
