host: an agent polls its worker as soon as a planner calls

Cause: a lost wakeup. Run took the channel for the next change after nextPoll had found no planner; a call between the two was missed, and the first poll came a second later. Both are taken under one lock now.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -295,9 +295,9 @@
 // Run polls the worker and renews its lease until ctx ends.
 func (a *Agent) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		req, ready := a.nextPoll()
+		req, ready, changed := a.nextPoll()
 		if !ready {
-			a.waitForChange(ctx, pollWait)
+			waitFor(ctx, changed, pollWait)
 			continue
 		}
 		_, err := a.poll(ctx, req)
@@ -319,6 +319,11 @@
 	a.mu.Lock()
 	changed := a.nextChange()
 	a.mu.Unlock()
+	waitFor(ctx, changed, d)
+}
+
+// waitFor waits until changed is closed, at most d.
+func waitFor(ctx context.Context, changed <-chan struct{}, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
@@ -336,25 +341,26 @@
 	return len(a.ended) > 0 && a.ended[0].Number > a.lastStoredEnd
 }
 
-// nextPoll returns the next poll, and false if there is no lifetime or planner yet.
-func (a *Agent) nextPoll() (PollRequest, bool) {
+// nextPoll returns the next poll, or false and a channel that is closed at the next change if there is no lifetime
+// or planner yet.
+func (a *Agent) nextPoll() (req PollRequest, ready bool, changed <-chan struct{}) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.lifetime.ID == "" || a.epoch == 0 {
-		return PollRequest{}, false
+		return req, false, a.nextChange()
 	}
-	req := PollRequest{Lifetime: a.lifetime.String(), Epoch: a.epoch}
+	req = PollRequest{Lifetime: a.lifetime.String(), Epoch: a.epoch}
 	if a.unreachable {
 		// A call that is not answered may still extend the lease, so a worker that doesn't answer
 		// gets no extension.
-		return req, true
+		return req, true, nil
 	}
 	req.AckedEnd = a.ackableEnd()
 	req.LeaseEnd = a.lease.endOnWorkerClock(clock.Now())
 	if a.lease.clockReadAt != 0 { // Before, the poll must return the worker's clock at once.
 		req.Wait = pollWait
 	}
-	return req, true
+	return req, true, nil
 }
 
 // ackableEnd returns the number up to which a poll may acknowledge run ends. It is zero while the worker doesn't
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -402,6 +402,25 @@
 	}
 }
 
+// The planner calls for the first time as the agent is about to wait for that.
+func TestWorkerIsPolledOnceAPlannerCalls(t *testing.T) {
+	for range 300 {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(t)
+			if err := f.watch(); err != nil {
+				t.Fatal(err)
+			}
+			synctest.Wait()
+			if err := f.watch(); err != nil {
+				t.Fatal(err)
+			}
+			if !f.lastReport.GetLooked() {
+				t.Error("the worker was not polled at once")
+			}
+		})
+	}
+}
+
 // A worker that has restarted doesn't answer at first. Its new lifetime counts from the first heartbeat that
 // it confirms, and the one before is over then.
 func TestRestartedWorkerIsUsedOnceItConfirms(t *testing.T) {
