--- a/cmd/sniperill/jobs.go
+++ b/cmd/sniperill/jobs.go
@@ -49,12 +49,14 @@
 	return t.UTC().Format(time.RFC3339Nano)
 }
 
-func printJobs(c *cli.Command, rows []jobRow) error {
-	t := newTable(c.Writer, "JOB", "TEAM", "CLASS", "STATE", "ATTEMPT", "WORKERS", "REASON")
-	for _, r := range rows {
-		t.row(r.ID, r.Team, r.Class, r.State, r.Attempt, orDash(strings.Join(r.Workers, " ")), orDash(r.Reason))
-	}
-	return t.flush()
+var jobColumns = []column[jobRow]{
+	{name: "job", value: func(r jobRow) any { return r.ID }},
+	{name: "team", value: func(r jobRow) any { return r.Team }},
+	{name: "class", value: func(r jobRow) any { return r.Class }},
+	{name: "state", value: func(r jobRow) any { return string(r.State) }},
+	{name: "attempt", value: func(r jobRow) any { return int64(r.Attempt) }},
+	{name: "workers", value: func(r jobRow) any { return strings.Join(r.Workers, " ") }},
+	{name: "reason", value: func(r jobRow) any { return r.Reason }},
 }
 
 // Errors for jobs that ended in another state than done.
@@ -70,7 +72,7 @@
 	if c.Bool("json") {
 		err = printJSON(c.Writer, newJobRow(s))
 	} else {
-		err = printJobs(c, []jobRow{newJobRow(s)})
+		err = list[jobRow]{"jobs", jobColumns, []jobRow{newJobRow(s)}}.printTable(c.Writer)
 	}
 	if err != nil {
 		return trace.Wrap(err)
--- a/cmd/sniperill/main_test.go
+++ b/cmd/sniperill/main_test.go
@@ -157,6 +157,8 @@
 		{"operator", showTeams, exitDone, `"owned-accelerators": 16`},
 		{"operator", "show guarantees", exitDone, `"whole": true`},
 		{"operator", "show workers", exitDone, `"health": "alive"`},
+		{"operator", "show workers --by zone", exitDone, `"count": 3`},
+		{"operator", "show workers --sort colour", exitError, ""},
 		{"operator", "show config", exitDone, `"author": "operator"`},
 		{"hari-quotes", "show teams", exitError, ""},
 		{"hari-quotes", "call price-quote chalk", exitDone, `"outcome": "done"`},
@@ -168,6 +170,7 @@
 		{"hari-quotes", "wait one", exitError, `"state": "cancelled"`},
 		{"hari-quotes", "submit mockup --wait --run-time 1ms", exitDone, `"state": "done"`},
 		{"operator", "show jobs --team hari-quotes", exitDone, `"id": "one"`},
+		{"operator", "show jobs --by team --by state", exitDone, `"state": "cancelled"`},
 		{"operator", "drain worker-9", exitError, ""},
 		{"operator", "drain worker-3", exitDone, `"asked": true`},
 	}
--- a/cmd/sniperill/show.go
+++ b/cmd/sniperill/show.go
@@ -26,10 +26,10 @@
 		Commands: []*cli.Command{
 			{Name: "teams", Usage: "what each team uses and owns", Flags: clientFlags(), Action: asOperator(0, showTeams)},
 			{Name: "guarantees", Usage: "which accelerators back each guarantee", Flags: clientFlags(), Action: asOperator(0, showGuarantees)},
-			{Name: "workers", Usage: "the workers and their health", Flags: clientFlags(), Action: asOperator(0, showWorkers)},
+			{Name: "workers", Usage: "the workers and their health", Flags: listFlags(), Action: asOperator(0, showWorkers)},
 			{
 				Name: "jobs", Usage: "the jobs and their states", Action: asOperator(0, showJobs),
-				Flags: clientFlags(&cli.StringFlag{Name: "team", Usage: "only the jobs of this team"}),
+				Flags: listFlags(&cli.StringFlag{Name: "team", Usage: "only the jobs of this team"}),
 			},
 			{Name: "config", Usage: "the configuration in force", Flags: clientFlags(), Action: asOperator(0, showConfig)},
 		},
@@ -142,16 +142,19 @@
 	for _, w := range workers {
 		rows = append(rows, newWorkerRow(w))
 	}
-	if c.Bool("json") {
-		return printJSON(c.Writer, struct {
-			Workers []workerRow `json:"workers"`
-		}{rows})
-	}
-	t := newTable(c.Writer, "WORKER", "HEALTH", "ZONE", "RACK", "ACCELERATORS", "USED", "TASKS", "CONFIG")
-	for _, r := range rows {
-		t.row(r.Name, r.Health, r.Zone, r.Rack, r.Accelerators, r.Used, r.Tasks, r.Version)
-	}
-	return t.flush()
+	return list[workerRow]{"workers", workerColumns, rows}.print(c)
+}
+
+var workerColumns = []column[workerRow]{
+	{name: "worker", value: func(r workerRow) any { return r.Name }},
+	{name: "health", value: func(r workerRow) any { return r.Health }},
+	{name: "region", value: func(r workerRow) any { return r.Region }},
+	{name: "zone", value: func(r workerRow) any { return r.Zone }},
+	{name: "rack", value: func(r workerRow) any { return r.Rack }},
+	{name: "accelerators", value: func(r workerRow) any { return int64(r.Accelerators) }, sum: true},
+	{name: "used", value: func(r workerRow) any { return int64(r.Used) }, sum: true},
+	{name: "tasks", value: func(r workerRow) any { return int64(r.Tasks) }, sum: true},
+	{name: "config", value: func(r workerRow) any { return int64(r.Version) }},
 }
 
 func showJobs(ctx context.Context, c *cli.Command, client *operator.Client) error {
@@ -163,12 +166,7 @@
 	for _, j := range jobs {
 		rows = append(rows, jobRowOf(j))
 	}
-	if c.Bool("json") {
-		return printJSON(c.Writer, struct {
-			Jobs []jobRow `json:"jobs"`
-		}{rows})
-	}
-	return printJobs(c, rows)
+	return list[jobRow]{"jobs", jobColumns, rows}.print(c)
 }
 
 // configResult is the result of "show config" as JSON.
