host: a restarted agent doesn't call a stopped start unsent

Callers saw, in the test, a task that could run twice: a start that came after a stop of its run was answered as refused unsent, which the planner takes as proof that the run is over, also if the order was for the process before, which may have sent the start. The check for the other reasons not to send a start was missing there.

Found by reading. TestRestartedAgentDoesNotTellThatStoppedStartWasNotSent failed before: "OUTCOME_REFUSED, a stop of the run came first, unsent:true" for a run that was running. Now all such answers are made by refuseUnsent. Passed after: internal/host, also with -race -cpu 1.

--- a/internal/host/handler.go
+++ b/internal/host/handler.go
@@ -188,9 +188,7 @@
 	s, first, stopped := a.addStart(d, cancel)
 	switch {
 	case first && stopped:
-		s.result = &pb.OrderResult{
-			Task: o.GetTask(), Run: o.GetRun(), Outcome: pb.Outcome_OUTCOME_REFUSED, Unsent: true, Detail: "a stop of the run came first",
-		}
+		s.result = a.refuseUnsent(m, o, "a stop of the run came first")
 		close(s.done)
 	case first:
 		s.result = a.startTask(startCtx, m, o)
@@ -204,6 +202,15 @@
 	}
 }
 
+// refuseUnsent returns the result of a start that this process doesn't send. For an order that an earlier process got,
+// that one may have sent it.
+func (a *Agent) refuseUnsent(m *pb.OrderRequest, o *pb.StartTask, reason string) *pb.OrderResult {
+	return &pb.OrderResult{
+		Task: o.GetTask(), Run: o.GetRun(), Outcome: pb.Outcome_OUTCOME_REFUSED, Detail: reason,
+		Unsent: m.GetAgentLife() == a.Incarnation,
+	}
+}
+
 // addStart records that a start was delivered. It returns the first delivery of it, whether this is the first,
 // and whether a stop of the run was delivered before.
 func (a *Agent) addStart(d delivery, cancel context.CancelFunc) (s *deliveredStart, first, stopped bool) {
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -999,6 +999,35 @@
 	})
 }
 
+// The process before has carried out a start. It is delivered again to the next one, after a stop of its run, which
+// the worker has not answered.
+func TestRestartedAgentDoesNotTellThatStoppedStartWasNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		f.renewFor(3 * time.Second)
+		order := &pb.OrderRequest{
+			Agent: "a", AgentLife: "1", Report: f.lastReport.GetReport(), Grant: durationpb.New(lease),
+			Starts: []*pb.StartTask{{Task: "j.0.0.0", Run: 1}},
+		}
+		if got := f.order(order)[0]; got.GetOutcome() != pb.Outcome_OUTCOME_STARTED {
+			t.Fatalf("start: %v, want started", got)
+		}
+		f.agent = &host.Agent{Name: "a", Worker: f.worker(), Incarnation: "2", MaxLease: lease, StopTimeout: stopTimeout}
+		go f.agent.Run(f.ctx)
+		f.heartbeat(f.executor.Heartbeat("s", "r1-1", 2))
+		f.executor.Silence(true)
+		if got := f.stop("j.0.0.0", 1); got != pb.Outcome_OUTCOME_UNKNOWN {
+			t.Fatalf("stop: %v, want unknown", got)
+		}
+		if got := f.order(order)[0]; got.GetOutcome() == pb.Outcome_OUTCOME_STARTED || got.GetUnsent() {
+			t.Errorf("the same start at the next process: %v, want it neither started nor called unsent", got)
+		}
+		if diff := cmp.Diff([]string{"j.0.0.0"}, f.executor.Running()); diff != "" {
+			t.Errorf("running (-want +got):\n%s", diff)
+		}
+	})
+}
+
 // A worker refuses a start and its stop, so nothing shows whether the run is there. A planner of an earlier version,
 // which names no agent, takes a refused run as over.
 func TestEarlierPlannerIsNotToldOfUnprovenRefusal(t *testing.T) {
--- a/internal/host/orders.go
+++ b/internal/host/orders.go
@@ -37,11 +37,10 @@
 		// Also before a repeat: the lifetime, the planner or the lease may have ended meanwhile.
 		leaseEnd, reason := a.mayStart(m)
 		if reason != "" {
-			result.Detail = reason
 			if !maybeStarted {
-				// For an order that an earlier process got, that one may have sent the start.
-				result.Outcome, result.Unsent = pb.Outcome_OUTCOME_REFUSED, m.GetAgentLife() == a.Incarnation
+				return a.refuseUnsent(m, o, reason)
 			}
+			result.Detail = reason
 			return result
 		}
 		err := a.startOnce(ctx, Start{
