host: a far higher heartbeat number hides a worker's heartbeats for seconds only

Another writer's heartbeat that names the worker's own lifetime and a number near the largest accepted, 2^40, made the agent ignore all of the worker's own as older: it reported the other writer's service from then on, and never that the worker drained. Operators would see work end with a worker that had announced its drain.

Found by reading. TestHighNumberOfAnotherWriterHidesNoHeartbeats failed before: service "other", and no drain, in all three cases. Now, if lower numbers still come 5 s after the first of them, none higher since, and go on rising, they are taken. Delayed heartbeats among newer ones undo nothing: TestDelayedHeartbeatsUndoNothing (passed before, too; it guards the change). Passed after: internal/host.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -64,6 +64,7 @@
 	version     uint64
 	epoch       int64
 	heartbeat   Heartbeat
+	ignored     ignoredHeartbeat
 	lifetime    Lifetime
 	drainUntil  clock.Instant
 	leaving     bool // The worker has announced that it shuts down.
@@ -101,6 +102,12 @@
 	startedAt clock.Instant
 }
 
+// ignoredHeartbeat describes the heartbeats that were ignored as older than the newest one.
+type ignoredHeartbeat struct {
+	sequence int64         // Of the last of them.
+	since    clock.Instant // When the first of them came; zero if none has since the newest one.
+}
+
 // Errors with which a heartbeat fails.
 var (
 	// ErrOtherWorker is returned for a heartbeat that the agent's worker did not send.
@@ -139,9 +146,10 @@
 		return false
 	}
 	same := hb.Lifetime == a.heartbeat.Lifetime
-	if same && hb.Sequence <= a.heartbeat.Sequence {
+	if same && hb.Sequence <= a.heartbeat.Sequence && a.ignoreAsOlder(hb) {
 		return true
 	}
+	a.ignored = ignoredHeartbeat{}
 	if !same {
 		a.Log.Info().Stringer("lifetime", hb.Lifetime).Str("service", hb.Service).Str("rack", hb.Rack).
 			Int("accelerators", hb.Resources.Accelerators).Stringer("before", a.lifetime).Str("check", check).
@@ -170,6 +178,24 @@
 	return true
 }
 
+// ignoreAsOlder reports whether to ignore a heartbeat that has a lower number than the newest of its lifetime. If such
+// heartbeats come for longer than calls are late, and go on rising, the newest was another writer's. The caller holds
+// the lock.
+func (a *Agent) ignoreAsOlder(hb Heartbeat) bool {
+	before := a.ignored
+	a.ignored.sequence = hb.Sequence
+	if before.since == 0 {
+		a.ignored.since = clock.Now()
+		return true
+	}
+	if hb.Sequence <= before.sequence || clock.Since(before.since) <= lateCallTimeout {
+		return true
+	}
+	a.Log.Warn().Stringer("lifetime", hb.Lifetime).Int64("sequence", hb.Sequence).Int64("newest", a.heartbeat.Sequence).
+		Msg("The newest heartbeat's number was another writer's.")
+	return false
+}
+
 // confirmLifetime asks the worker whether it is in an announced lifetime, if that isn't the current one. It
 // returns the current one, and what the check showed, for the log. Silence confirms nothing. Before a
 // planner has called, a worker may refuse the question, and the first announced lifetime is taken as it is:
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -318,6 +318,58 @@
 	}
 }
 
+// Another writer's heartbeats name the worker's own lifetime and have far higher numbers than its own.
+func TestHighNumberOfAnotherWriterHidesNoHeartbeats(t *testing.T) {
+	for _, odd := range [][]int64{{1 << 40}, {1 << 30, 1 << 40}, {1 << 40, 1 << 30}} {
+		t.Run(fmt.Sprint(odd), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t)
+				f.renewFor(time.Second)
+				number := int64(1)
+				beatFor := func(n int, draining bool) {
+					for range n {
+						number++
+						hb := f.executor.Heartbeat("s", "r1-1", number)
+						hb.Draining, hb.DrainRemaining = draining, time.Minute
+						f.heartbeat(hb)
+						f.renewFor(time.Second)
+					}
+				}
+				for _, o := range odd {
+					f.heartbeat(f.executor.Heartbeat("other", "r1-1", o))
+					beatFor(2, false)
+				}
+				beatFor(7, false)
+				if got := f.lastReport.GetWorker().GetService(); got != "s" {
+					t.Errorf("service %q, want that of the worker's own heartbeats, %q", got, "s")
+				}
+				beatFor(1, true)
+				if !f.lastReport.GetWorker().GetDraining() {
+					t.Error("the worker drains, and the report doesn't say so")
+				}
+			})
+		})
+	}
+}
+
+// Delayed heartbeats arrive among newer ones, also in the order of their numbers.
+func TestDelayedHeartbeatsUndoNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		for n := int64(20); n < 40; n++ {
+			f.heartbeat(f.executor.Heartbeat("s", "r1-1", n))
+			f.renewFor(500 * time.Millisecond)
+			for delayed := n - 18; delayed < n; delayed += 4 {
+				f.heartbeat(f.executor.Heartbeat("before", "r1-1", delayed))
+			}
+			f.renewFor(500 * time.Millisecond)
+			if got := f.lastReport.GetWorker().GetService(); got != "s" {
+				t.Fatalf("after the heartbeat %d and earlier ones: service %q, want %q", n, got, "s")
+			}
+		}
+	})
+}
+
 // Another writer's heartbeat announces a lifetime of a worker that runs on. The planner would take the
 // worker's runs as ended and start them again elsewhere.
 func TestHeartbeatOfAnotherWriterEndsNoLifetime(t *testing.T) {
