host: test flag that two goroutines share is atomic

TestStopInEarlierLifetimeIsNotAbsent wrote and read whether the worker has restarted from the agent's polls and from the stop's, without a lock: the race detector failed it in 1 of 60 runs with -race -cpu 1. The worker restarts once, as before; what the test asks is unchanged, and it still fails without the comparison of lifetimes in isAbsent.

--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -1009,18 +1009,17 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t)
 		f.renewFor(3 * time.Second)
-		restarted := false
+		var restarted atomic.Bool
 		f.setOnPoll(func(ctx context.Context, r host.PollRequest, poll pollFunc) (host.WorkerState, error) {
-			if !restarted && !r.Probe && r.Wait == 0 && r.LeaseEnd == 0 {
-				restarted = true
+			if !r.Probe && r.Wait == 0 && r.LeaseEnd == 0 && restarted.CompareAndSwap(false, true) {
 				f.executor.Crash()
 				f.startExecutor(host.Lifetime{ID: "w", StartedUnixMS: 2})
 				f.heartbeat(f.executor.Heartbeat("s", "r1-1", 1))
 			}
 			return poll(ctx, r)
 		})
-		if got := f.stop("j.0.0.0", 1); !restarted || got == pb.Outcome_OUTCOME_ABSENT {
-			t.Errorf("restarted after the stop: %v; stop: %v, want anything but absent", restarted, got)
+		if got := f.stop("j.0.0.0", 1); !restarted.Load() || got == pb.Outcome_OUTCOME_ABSENT {
+			t.Errorf("restarted after the stop: %v; stop: %v, want anything but absent", restarted.Load(), got)
 		}
 	})
 }
