dispatch: an end that is stored again doesn't hide one of the next lifetime

Callers could see a task that is done run again: a job remembered, of each worker, the first end that its stored records lack, for one lifetime. If the worker restarted under its id while a record with such an end was on its way, and the store then rejected that record, the end to be stored again replaced that of the new lifetime, which was acknowledged without being stored. If the planner was replaced then, nobody knew of it.

Found by reading. TestEndsOfRejectedRecordsAreNotAcknowledgedInNextLifetime failed before at all 5 offsets: "a.0.0.1 was started again (run 2) after run 1 had ended as done". Now an end is remembered for each lifetime of a worker. The other order, an end of the new lifetime that replaces one of the lifetime before, could lose nothing: only ends of the current lifetime are acknowledged.

--- a/internal/dispatch/active.go
+++ b/internal/dispatch/active.go
@@ -387,10 +387,10 @@
 // not in it, as the store has rejected their records.
 func (ap *activePlanner) withholdUnstored(stored map[*worker]endPosition) {
 	for _, j := range ap.jobs {
-		for w, first := range j.unstoredEnds {
-			if end, ok := stored[w]; ok && end.lifetime == first.lifetime && end.number >= first.number {
-				end.number = first.number - 1
-				stored[w] = end
+		for at, first := range j.unstoredEnds {
+			if end, ok := stored[at.worker]; ok && end.lifetime == at.lifetime && end.number >= first {
+				end.number = first - 1
+				stored[at.worker] = end
 			}
 		}
 	}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -24,11 +24,17 @@
 	finalizedAt    clock.Instant                 // When this planner made it final; zero if it didn't.
 	finalSent      bool                          // Its final state is in a batch that was passed to the store.
 	unitStates     map[clusterstate.UnitKey]*unitState
-	// Of each worker, the first end of a run of this job that is not stored, or is being stored.
-	unstoredEnds, storingEnds map[*worker]endPosition
+	// Of each lifetime of a worker, the first end of a run of this job that is not stored, or is being stored.
+	unstoredEnds, storingEnds map[workerLifetime]uint64
 	deferred                  map[[2]int]bool // Occurrence and step of each deferral that was logged.
 }
 
+// workerLifetime is a lifetime of a worker.
+type workerLifetime struct {
+	worker   *worker
+	lifetime string
+}
+
 // unitState is what the planner knows of a unit in addition to its progress. It is not stored.
 type unitState struct {
 	readySince        time.Time // Since when it has been waiting; zero if it isn't.
@@ -108,14 +114,14 @@
 }
 
 // recordEnd records that the job's progress has the end of a run, which is not stored yet.
-func (j *job) recordEnd(w *worker, end endPosition) {
-	if first, ok := j.unstoredEnds[w]; ok && first.lifetime == end.lifetime && first.number < end.number {
+func (j *job) recordEnd(at workerLifetime, number uint64) {
+	if first, ok := j.unstoredEnds[at]; ok && first < number {
 		return
 	}
 	if j.unstoredEnds == nil {
-		j.unstoredEnds = make(map[*worker]endPosition)
+		j.unstoredEnds = make(map[workerLifetime]uint64)
 	}
-	j.unstoredEnds[w] = end
+	j.unstoredEnds[at] = number
 }
 
 // storeRetryDelay is the delay before records that the store has rejected are stored again.
@@ -128,8 +134,8 @@
 	for k := range j.progress.Units {
 		j.changed[k] = true
 	}
-	for w, end := range j.storingEnds {
-		j.recordEnd(w, end)
+	for at, number := range j.storingEnds {
+		j.recordEnd(at, number)
 	}
 	j.storingEnds = nil
 }
--- a/internal/dispatch/large_test.go
+++ b/internal/dispatch/large_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"sniperill.example/sniperill/internal/host"
 	"sniperill.example/sniperill/internal/standin"
 	"sniperill.example/sniperill/pkg/shop"
 	"sniperill.example/sniperill/pkg/workflow"
@@ -129,3 +130,44 @@
 		})
 	}
 }
+
+// A worker restarts under its id while a record with an end of its lifetime before is on its way to the store, which
+// rejects it. An end of the new lifetime that the job's records lack, too, must not be acknowledged.
+func TestEndsOfRejectedRecordsAreNotAcknowledgedInNextLifetime(t *testing.T) {
+	for offset := 950 * time.Millisecond; offset < time.Second; offset += 10 * time.Millisecond {
+		t.Run(offset.String(), func(t *testing.T) {
+			withVirtualTime(t, func(t *testing.T) {
+				c := newCluster(t, 1, 1)
+				checker := c.watchRuns()
+				time.Sleep(3 * time.Second)
+				a, planner := c.agents[0], c.planner()
+				sent := make(chan host.Start, 100)
+				a.beforeStart = func(s host.Start) {
+					if s.Task == "a.0.0.1" {
+						sent <- s
+						time.Sleep(300 * time.Millisecond)
+					}
+				}
+				c.submit("a", "red", "batch", many(task(1, 1), 2))
+				time.Sleep(offset)
+				planner.storeLink.loseAppends(true)
+				time.Sleep(300 * time.Millisecond) // The first task ends.
+				refuseStop := func() error { return host.ErrUnhealthy }
+				a.refuseStop.Store(&refuseStop)
+				c.restartWorker(a, 2, checker)
+				if err := a.machine.Worker().Start(c.ctx, <-sent); err != nil { // It is delivered twice.
+					t.Fatal(err)
+				}
+				time.Sleep(1500 * time.Millisecond) // The other one ends.
+				c.store.Reject("p/a")
+				planner.storeLink.loseAppends(false)
+				time.Sleep(4 * time.Second)
+				c.restartEntry(planner)
+				a.refuseStop.Store(nil)
+				c.store.Reject("")
+				c.await(30*time.Second, shop.Done, "a")
+				c.reportViolations(checker)
+			})
+		})
+	}
+}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -158,7 +158,7 @@
 	if !ok || m.run != int(e.GetRun()) || m.worker != w || !m.mayRunIn(w.lifetime) && !m.doneIn(w.lifetime, end) {
 		return // An earlier planner stored the end, or the run was known to have ended.
 	}
-	m.job.recordEnd(w, w.appliedEnds)
+	m.job.recordEnd(workerLifetime{w, w.lifetime}, e.GetNumber())
 	ap.updateHealth(w, m, end)
 	ap.runEnded(m, end, e.GetCheckpoint(), "listed")
 }
