host: a run whose stops are all refused is over once no start of it can come

Callers would see a task "running" for good that runs nowhere: its start got no answer, and its worker answers polls but refuses every stop. The run was over only once the worker had accepted a stop and didn't list it, and the lease of a worker that answers never lapses.

Found by reading. TestTaskOfWorkerThatRefusesAllStopsRunsElsewhere failed before: "after 40s: a is running, want done". The stop keeps out a start that is still on its way; time does, too. Once the longest lease plus 5 s, by which a call takes effect, have passed since the first stop of the run, a look that doesn't show it is enough (15.2 s for a lease of 10 s). Without the bound the test fails when the start arrives after 2 and 4.5 s, and TestRefusedStopIsAbsentOnceNoStartCanCome at 350 ms.

Weighed: to renew the lease of such a worker no longer; all its other runs would lapse. So a cancelled task that runs there still ends only by itself.

--- a/internal/dispatch/refused_test.go
+++ b/internal/dispatch/refused_test.go
@@ -55,3 +55,36 @@
 		})
 	}
 }
+
+// A start gets no answer, and the worker refuses all stops, while it answers otherwise. The task must neither wait for
+// good nor run twice at once, should the start be carried out seconds later.
+func TestTaskOfWorkerThatRefusesAllStopsRunsElsewhere(t *testing.T) {
+	for _, arrives := range []time.Duration{0, 2 * time.Second, 4500 * time.Millisecond} {
+		t.Run(fmt.Sprint("the start arrives after ", arrives), func(t *testing.T) {
+			withVirtualTime(t, func(t *testing.T) {
+				c := newCluster(t, 2, 2)
+				checker := c.watchRuns()
+				time.Sleep(3 * time.Second)
+				a := c.agents[0]
+				sent := make(chan host.Start, 100)
+				a.beforeStart = func(s host.Start) { sent <- s }
+				a.loseStarts.Store(true)
+				refuseStop := func() error { return host.ErrUnhealthy }
+				a.refuseStop.Store(&refuseStop)
+				c.submit("a", "red", "batch", task(12, 8))
+				time.Sleep(time.Second)
+				late := <-sent
+				a.loseStarts.Store(false)
+				if arrives > 0 {
+					time.Sleep(arrives - time.Second)
+					if err := a.machine.Worker().Start(c.ctx, late); err != nil {
+						t.Fatal(err)
+					}
+				}
+				c.await(40*time.Second, shop.Done, "a")
+				time.Sleep(10 * time.Second)
+				c.reportViolations(checker)
+			})
+		})
+	}
+}
--- a/internal/host/handler.go
+++ b/internal/host/handler.go
@@ -175,8 +175,8 @@
 
 // deliveredStop is the highest run of a task of which a stop was delivered.
 type deliveredStop struct {
-	at  clock.Instant
-	run int
+	run       int
+	first, at clock.Instant // When its first and its newest stop were delivered.
 }
 
 // startFirst carries out a start the first time that it is delivered. Should it be delivered again, it returns
@@ -239,8 +239,11 @@
 		a.deliveries.stops = make(map[string]deliveredStop)
 	}
 	for _, o := range stops {
-		run := max(int(o.GetRun()), a.deliveries.stops[o.GetTask()].run)
-		a.deliveries.stops[o.GetTask()] = deliveredStop{clock.Now(), run}
+		run, first := int(o.GetRun()), clock.Now()
+		if before, ok := a.deliveries.stops[o.GetTask()]; ok && before.run >= run {
+			run, first = before.run, before.first
+		}
+		a.deliveries.stops[o.GetTask()] = deliveredStop{run, first, clock.Now()}
 		for d, s := range a.deliveries.starts {
 			if d.run.task == o.GetTask() && d.run.run <= run {
 				s.cancel()
@@ -249,6 +252,16 @@
 	}
 }
 
+// startsOver reports whether no start of a run can reach the worker any more, as its first stop was delivered long
+// ago: since then this process sends none, an earlier one sent none for longer than a lease, and a call takes effect
+// within lateCallTimeout.
+func (a *Agent) startsOver(run taskRun) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	s, ok := a.deliveries.stops[run.task]
+	return ok && s.run == run.run && clock.Since(s.first) > a.longestLease()+lateCallTimeout
+}
+
 // forgetDeliveries removes the deliveries of orders that are refused as too old by now. The caller holds the lock.
 func (a *Agent) forgetDeliveries() {
 	old := clock.Now().Add(-a.MaxLease)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -529,8 +529,12 @@
 	if !a.lease.lapsed(now, a.StopTimeout) {
 		return false
 	}
-	longest := time.Duration(float64(a.MaxLease) / minClockRate)
-	return a.shownSince == 0 || now > a.shownSince.Add(lateCallTimeout+longest+a.StopTimeout+leaseSlack)
+	return a.shownSince == 0 || now > a.shownSince.Add(lateCallTimeout+a.longestLease()+a.StopTimeout+leaseSlack)
+}
+
+// longestLease returns how long the longest lease lasts on the worker's clock.
+func (a *Agent) longestLease() time.Duration {
+	return time.Duration(float64(a.MaxLease) / minClockRate)
 }
 
 // handlePollError handles a poll of a lifetime that failed, and marks the worker as unreachable. The lifetime
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -850,6 +850,31 @@
 	}
 }
 
+// A worker refuses all stops. A run that it doesn't list is absent only once no start of it can come any more, and one
+// that it lists never is.
+func TestRefusedStopIsAbsentOnceNoStartCanCome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		f.agent.Worker.Stop = func(context.Context, host.Stop) error { return host.ErrUnhealthy }
+		f.renewFor(3 * time.Second)
+		f.start("there.0.0.0")
+		first := time.Now()
+		for time.Since(first) < 25*time.Second {
+			if got := f.stop("there.0.0.0", 1); got != pb.Outcome_OUTCOME_UNKNOWN {
+				t.Fatalf("%v after the first stop: stop of a run that goes on: %v, want unknown", time.Since(first), got)
+			}
+			sent := time.Since(first)
+			switch got := f.stop("never.0.0.0", 1); {
+			case sent < 15*time.Second && got != pb.Outcome_OUTCOME_UNKNOWN:
+				t.Fatalf("%v after the first stop: stop of a run that may still start: %v, want unknown", sent, got)
+			case sent > 17*time.Second && got != pb.Outcome_OUTCOME_ABSENT:
+				t.Fatalf("%v after the first stop: stop of a run that can't start any more: %v, want absent", sent, got)
+			}
+			f.renewFor(300 * time.Millisecond)
+		}
+	})
+}
+
 // On a worker on which runs end all the time, its list of ended runs is never empty. A later end shows that
 // those before it have been seen.
 func TestStopIsAbsentOnBusyWorker(t *testing.T) {
--- a/internal/host/orders.go
+++ b/internal/host/orders.go
@@ -164,8 +164,12 @@
 		})
 	}
 	_ = group.Wait() // The functions report errors in their results.
-	accepted := func(r *pb.OrderResult) bool { return r.GetOutcome() == pb.Outcome_OUTCOME_STOPPING }
-	if !slices.ContainsFunc(results, accepted) {
+
+	barred := make([]bool, len(results)) // Whether the run can't start any more.
+	for i, r := range results {
+		barred[i] = r.GetOutcome() == pb.Outcome_OUTCOME_STOPPING || a.startsOver(taskRun{r.GetTask(), int(r.GetRun())})
+	}
+	if !slices.Contains(barred, true) {
 		return results
 	}
 
@@ -183,8 +187,8 @@
 		}
 		return results
 	}
-	for _, r := range results {
-		if accepted(r) && a.isAbsent(state, lifetime, taskRun{r.GetTask(), int(r.GetRun())}) {
+	for i, r := range results {
+		if barred[i] && a.isAbsent(state, lifetime, taskRun{r.GetTask(), int(r.GetRun())}) {
 			r.Outcome, r.EndsSeen = pb.Outcome_OUTCOME_ABSENT, true
 		}
 	}
@@ -202,7 +206,7 @@
 }
 
 // isAbsent reports whether a stopped run is over without an end that will be reported, given the state that the
-// worker returned after it had accepted the stop in a lifetime. The next lifetime with the same id, which may have
+// worker returned in a lifetime after it had accepted the stop, or could no longer get a start of the run. The next lifetime with the same id, which may have
 // returned the state, knows of no stop and can still start the run. As the worker's lists of ended runs may be cut,
 // and the run may have ended after the stop, that it is missing proves nothing until the ends of all runs that had
 // ended when it was first missing have been seen.
