--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -358,11 +358,11 @@
 			}
 			return s.Ping(ctx)
 		},
-		Newest: func(ctx context.Context) (journal.Page, error) {
+		Newest: func(ctx context.Context, after string) (journal.Page, error) {
 			if err := l.checkLink(ctx); err != nil {
 				return journal.Page{}, err
 			}
-			return s.Newest(ctx)
+			return s.Newest(ctx, after)
 		},
 	}
 }
--- a/internal/journal/follower.go
+++ b/internal/journal/follower.go
@@ -1,8 +1,10 @@
 package journal
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -160,7 +162,7 @@
 		}
 	}
 	if !loaded {
-		page, err = f.hedgedRead(ctx, 0, f.Store.Newest)
+		page, err = f.loadNewest(ctx)
 	}
 	if err != nil {
 		return err
@@ -169,6 +171,29 @@
 	return nil
 }
 
+// loadNewest reads the newest record of each key, ordered by their offsets. Each page has the time of a read:
+// their number grows with the journal.
+func (f *Follower) loadNewest(ctx context.Context) (Page, error) {
+	var out Page
+	for after := ""; ; {
+		page, err := f.hedgedRead(ctx, 0, func(ctx context.Context) (Page, error) { return f.Store.Newest(ctx, after) })
+		if err != nil {
+			return Page{}, err
+		}
+		f.answeredAt.Store(int64(clock.Now()))
+		if after == "" { // The pages are not a consistent snapshot, so reading continues from the first one's end.
+			out.Next, out.End = page.Next, page.End
+		}
+		out.Records = append(out.Records, page.Records...)
+		if page.More == "" {
+			break
+		}
+		after = page.More
+	}
+	slices.SortFunc(out.Records, func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
+	return out, nil
+}
+
 // hedgedRead makes a call that may wait for a record, with hedging and a timeout.
 func (f *Follower) hedgedRead(ctx context.Context, wait time.Duration, call func(context.Context) (Page, error)) (Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+readTimeoutMargin)
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -51,6 +51,8 @@
 	Next int64
 	// End is the offset after the partition's last record.
 	End int64
+	// More is set if the newest records go on after the last of these keys, which it is.
+	More string
 }
 
 // Store holds the platform store's operations on the journal's partition.
@@ -63,7 +65,7 @@
 	Read func(ctx context.Context, from int64, wait time.Duration) (Page, error)
 	// Ping makes a call whose answer is short and shows that the store can be reached.
 	Ping func(ctx context.Context) error
-	// Newest returns the newest record of each key. Next is an offset from which reading on misses
-	// nothing.
-	Newest func(ctx context.Context) (Page, error)
+	// Newest returns the newest record of each key after the given one, or of the first of them. Next is an
+	// offset from which reading on misses nothing.
+	Newest func(ctx context.Context, after string) (Page, error)
 }
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -211,7 +211,7 @@
 	store := s.Journal()
 	reads := 0
 	store.Read = func(context.Context, int64, time.Duration) (journal.Page, error) { reads++; return journal.Page{}, nil }
-	store.Newest = func(context.Context) (journal.Page, error) { reads++; return journal.Page{}, nil }
+	store.Newest = func(context.Context, string) (journal.Page, error) { reads++; return journal.Page{}, nil }
 	f := &journal.Follower{Store: store}
 	if err := f.Probe(t.Context()); err != nil || f.AnsweredAt() == 0 {
 		t.Errorf("probe: %v, answered at %d", err, f.AnsweredAt())
@@ -284,6 +284,56 @@
 	})
 }
 
+// The newest records take many pages, which together take longer than any one call may. The store may also
+// be slow, or silent for a moment between two pages.
+func TestLoadOfManyPagesEnds(t *testing.T) {
+	tests := []struct {
+		name   string
+		pages  int
+		delay  time.Duration // Of a call.
+		silent time.Duration // After a third of the load.
+	}{
+		{"many pages", 200, 7 * time.Millisecond, 0},
+		{"slow store", 20, 400 * time.Millisecond, 0},
+		{"silent for a moment", 200, 7 * time.Millisecond, 300 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newProcesses(t)
+				s := &standin.Store{MaxRead: 2}
+				w := p.writer(s, "a", 1)
+				var want []string
+				for i := range 2 * tt.pages {
+					key := fmt.Sprintf("k%d", i)
+					want = append(want, key)
+					if err := p.add(w, time.Second, key); err != nil {
+						t.Fatal(err)
+					}
+				}
+				s.Delay = tt.delay
+				var got []string
+				f := &journal.Follower{Store: s.Journal(), Apply: func(r journal.Record) { got = append(got, r.Key) }}
+				go f.Run(p.ctx)
+				load := time.Duration(tt.pages) * tt.delay
+				time.Sleep(load / 3)
+				if tt.silent > 0 {
+					s.SetFault(standin.StoreSilent)
+					time.Sleep(tt.silent)
+					s.SetFault(standin.StoreHealthy)
+				}
+				time.Sleep(load*2/3 + 600*time.Millisecond)
+				if f.CaughtUpAt() == 0 {
+					t.Fatalf("the %d pages are not loaded %v after they could have been", tt.pages, 600*time.Millisecond)
+				}
+				if diff := cmp.Diff(want, got); diff != "" {
+					t.Errorf("applied (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
+
 // A store that was unresponsive answers new calls, but not those that it received meanwhile. Pending
 // appends must be written soon after it recovers, not only when the call in progress times out.
 func TestWriteIsRetriedSoonAfterStoreRecovers(t *testing.T) {
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -22,7 +22,7 @@
 	MaxRecord int
 	// MaxAppend is the size of the largest append that it takes, in bytes; zero means no limit.
 	MaxAppend int
-	// MaxRead is the number of records that a read returns at most; zero means no limit.
+	// MaxRead is the number of records that a read, or a page of newest records, has at most; zero means no limit.
 	MaxRead int
 
 	mu            sync.Mutex
@@ -230,7 +230,7 @@
 	return journal.Page{Records: slices.Clone(s.records[min(from, end):next]), Next: next, End: end}, s.grown, nil
 }
 
-func (s *Store) newest(ctx context.Context) (journal.Page, error) {
+func (s *Store) newest(ctx context.Context, after string) (journal.Page, error) {
 	if err := s.beginCall(ctx); err != nil {
 		return journal.Page{}, err
 	}
@@ -245,7 +245,16 @@
 		newest[r.Key] = r
 	}
 	end := int64(len(s.records))
-	page := journal.Page{Next: end, End: end, Records: slices.Collect(maps.Values(newest))}
-	slices.SortFunc(page.Records, func(a, b journal.Record) int { return int(a.Offset - b.Offset) })
+	page := journal.Page{Next: end, End: end}
+	for _, key := range slices.Sorted(maps.Keys(newest)) {
+		if key <= after {
+			continue
+		}
+		if s.MaxRead > 0 && len(page.Records) == s.MaxRead {
+			page.More = page.Records[s.MaxRead-1].Key
+			break
+		}
+		page.Records = append(page.Records, newest[key])
+	}
 	return page, nil
 }
