dispatch: jobs of an entry whose time of day has jumped are in time

The time of a job's submission is that of the entry's clock, and the planner compared it with its own time of day. Urgent work from an entry whose clock was 2 s behind seemed to be past its objective and got no room beyond a guarantee until batch work ended; batch work from one that was 2 s ahead left room for urgent work for that much longer, and missed its objective. A jump of the planner's clock did the same to all jobs.

A submission before that, or in the future, is taken as now. The time is kept with a monotonic reading, so that the planner's own jumps don't move it, and urgent units are ordered by that too.

Not covered: a job that was submitted by a wrong clock and is taken over by another planner counts with that clock's time, as nothing says when it was stored; scheduled jobs start by the planner's time of day.

--- a/internal/dispatch/active.go
+++ b/internal/dispatch/active.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -43,6 +44,7 @@
 
 	mu            sync.Mutex
 	changedJobs   map[string]bool // Jobs whose records were applied since the last pass.
+	appliedBefore clock.Instant   // All records stored before then were applied before the last pass.
 	newAgents     []clusterstate.Address
 	jobs          map[string]*job
 	workers       map[string]*worker
@@ -233,7 +235,7 @@
 
 // adopt takes over a job and the runs that earlier planners claimed for it.
 func (ap *activePlanner) adopt(stored *clusterstate.Job) {
-	j := newJob(stored)
+	j := newJob(stored, math.MaxInt64)
 	ap.jobs[stored.Spec.ID] = j
 	for key, u := range j.progress.Units {
 		for _, m := range u.Members {
@@ -323,6 +325,9 @@
 
 // applyChanges applies the changes of the cluster state since the last pass.
 func (ap *activePlanner) applyChanges() {
+	// What is new since the last pass was stored later than this.
+	appliedBefore := ap.appliedBefore
+	ap.appliedBefore = ap.Follower.CaughtUpAt()
 	for _, a := range ap.newAgents {
 		ap.addWorker(a)
 	}
@@ -334,7 +339,7 @@
 		}
 		j, known := ap.jobs[id]
 		if !known {
-			ap.jobs[id] = newJob(stored)
+			ap.jobs[id] = newJob(stored, clock.Since(appliedBefore))
 			continue
 		}
 		j.cancelled = stored.Cancelled
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -14,7 +14,8 @@
 // job is the planner's copy of a job; its progress may be ahead of the journal.
 type job struct {
 	spec           *workflow.Job
-	acceptedOffset int64 // Offset of the record by which it was accepted.
+	submitted      time.Time // By this process's monotonic clock.
+	acceptedOffset int64     // Offset of the record by which it was accepted.
 	progress       clusterstate.Progress
 	cancelled      bool
 	dirty          bool
@@ -45,13 +46,32 @@
 	reservedLifetimes []string // Lifetimes of the workers that are reserved for it.
 }
 
-func newJob(stored *clusterstate.Job) *job {
+// newJob returns the planner's copy of a job that was submitted no longer ago than maxAge.
+func newJob(stored *clusterstate.Job, maxAge time.Duration) *job {
 	return &job{
-		spec: stored.Spec, acceptedOffset: stored.AcceptedOffset, progress: stored.Progress.Clone(), cancelled: stored.Cancelled,
+		spec: stored.Spec, submitted: submittedAt(stored.Spec.Submitted, time.Now(), maxAge), acceptedOffset: stored.AcceptedOffset, progress: stored.Progress.Clone(), cancelled: stored.Cancelled,
 		unitStates: make(map[clusterstate.UnitKey]*unitState), changed: make(map[clusterstate.UnitKey]bool),
 	}
 }
 
+// submittedAt returns when a job was submitted, given that time by the clock of an entry. Both clocks' times of
+// day may jump, so a time that can't be right is taken as now, and the result has a monotonic reading.
+func submittedAt(byEntry, now time.Time, maxAge time.Duration) time.Time {
+	age := now.Sub(byEntry)
+	if age < 0 || age > maxAge {
+		age = 0
+	}
+	return now.Add(-age)
+}
+
+// due returns when an occurrence is due.
+func (j *job) due(occurrence int) time.Time {
+	if j.spec.Scheduled() {
+		return j.spec.Due(occurrence)
+	}
+	return j.submitted
+}
+
 // unitState returns the state of a unit, which it creates if there is none.
 func (j *job) unitState(key clusterstate.UnitKey) *unitState {
 	u, ok := j.unitStates[key]
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -151,7 +151,7 @@
 			at[name] = i
 			lost, remaining := ap.lostAndRemaining(m)
 			v.Running = append(v.Running, schedule.RunningUnit{
-				Team: m.job.spec.Team, Priority: ap.currentQueue(m.job).Priority, Submitted: m.job.spec.Submitted,
+				Team: m.job.spec.Team, Priority: ap.currentQueue(m.job).Priority, Submitted: m.job.submitted,
 				Step: m.step(), LostRunTime: lost, RemainingRunTime: remaining, JobFinal: m.job.final(),
 			})
 			idx.running = append(idx.running, runningUnit{job: m.job, key: m.key})
@@ -204,10 +204,10 @@
 				state.readySince = v.Now
 			}
 			spec := &j.spec.Steps[k.Step]
-			due := j.spec.Due(k.Occurrence)
+			due := j.due(k.Occurrence)
 			w := schedule.WaitingUnit{
 				Team: j.spec.Team, Service: q.Service, Priority: q.Priority, Step: spec, Members: 1,
-				ReadySince: state.readySince, Submitted: j.spec.Submitted,
+				ReadySince: state.readySince, Submitted: j.submitted,
 				Objective: due.Add(objective), HardDeadline: due.Add(lateFactor * objective),
 				Estimate: spec.Estimate, SpreadGroup: len(v.SpreadCounts) - 1, AvoidWorker: -1,
 			}
--- a/internal/schedule/guarantee.go
+++ b/internal/schedule/guarantee.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -54,7 +53,7 @@
 		}
 	}
 	slices.SortStableFunc(out, func(a, b urgentUnit) int {
-		return cmp.Compare(a.submitted.UnixNano(), b.submitted.UnixNano())
+		return a.submitted.Compare(b.submitted)
 	})
 	return out
 }
