clusterstate: an entry that doesn't plan decodes no units

What it cost: every entry decoded a job's whole progress at each change and copied its map of units, though only the planner needs them.

Now a record is only checked: a scanner reads the form that MarshalJSON writes without building values, and applies the same checks to each unit as before. The newest valid record of each block is kept as it was read, and Job.Progress decodes it when it is asked for, which a planner does once for each job when it steps up. What isn't in that form is decoded and checked as before. A refused record changes nothing, the known one counts in its place, and only the block that was written is checked again.

The other tests changed in their spelling only: Progress is a method now.

--- a/internal/clusterstate/block.go
+++ b/internal/clusterstate/block.go
@@ -1,6 +1,8 @@
 package clusterstate
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
@@ -8,6 +10,7 @@
 	"strings"
 
 	"sniperill.example/sniperill/internal/journal"
+	"sniperill.example/sniperill/pkg/shop"
 	"sniperill.example/sniperill/pkg/workflow"
 )
 
@@ -114,64 +117,158 @@
 	return id, block, nil
 }
 
+// storedBlock is a block of a job's progress as the journal has it. It is immutable. Its units are decoded when
+// they are asked for, which only a planner does.
+type storedBlock struct {
+	data  []byte
+	state shop.JobState
+	split bool
+	units int // Number of units.
+	// decoded is set if the data doesn't have the usual form, and data isn't then.
+	decoded *Progress
+}
+
+// newStoredBlock returns a block that another record may follow, or an error about data that can't be decoded.
+// Unless the job is nil, it also fails if the block can't be that of the job.
+func newStoredBlock(data []byte, j *workflow.Job, n int) (*storedBlock, error) {
+	b := &storedBlock{}
+	var check error // Of the first unit that can't be the job's.
+	head, ok, _ := scanProgress(data, func(head *scannedProgress, u *scannedUnit) error {
+		b.units++
+		if j != nil && check == nil {
+			check = u.check(head, j, n)
+		}
+		return nil
+	})
+	if ok {
+		b.data, b.state, b.split = bytes.Clone(data), head.state, head.split
+		return b, check
+	}
+	var p Progress
+	if err := json.Unmarshal(data, &p); err != nil {
+		return nil, err
+	}
+	b = &storedBlock{decoded: &p, state: p.State, split: p.Split, units: len(p.Units)}
+	return b, b.check(j, n)
+}
+
+// check returns an error if a block can't be that of the job.
+func (b *storedBlock) check(j *workflow.Job, n int) error {
+	if j == nil {
+		return nil
+	}
+	if b.decoded == nil {
+		_, _, err := scanProgress(b.data, func(head *scannedProgress, u *scannedUnit) error { return u.check(head, j, n) })
+		return err
+	}
+	for k, u := range b.decoded.Units {
+		if err := u.check(j, k); err != nil {
+			return err
+		}
+		if err := checkBlock(j, k, n, b.split); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// checkBlock returns an error if a unit can't be in a block. All units are in the first block unless it is split.
+func checkBlock(j *workflow.Job, k UnitKey, n int, split bool) error {
+	if (n > 0 || split) && k.block(j) != n {
+		return fmt.Errorf("%w: unit %v in block %d", errOther, k, n)
+	}
+	return nil
+}
+
+// addUnits decodes the block's units into a map.
+func (b *storedBlock) addUnits(units map[UnitKey]UnitProgress) {
+	if b.decoded != nil {
+		maps.Copy(units, b.decoded.Units)
+		return
+	}
+	var places [][2]string
+	// The data was checked when the block was made.
+	_, _, _ = scanProgress(b.data, func(head *scannedProgress, u *scannedUnit) error {
+		if places == nil {
+			places = make([][2]string, len(head.places))
+			for i, place := range head.places {
+				places[i] = [2]string{string(place[0]), string(place[1])}
+			}
+		}
+		out := UnitProgress{Run: u.run, Failures: u.failures, Done: u.done, Checkpoint: string(u.checkpoint)}
+		for _, m := range u.members {
+			out.Members = append(out.Members, Member{Index: m[0], AgentName: places[m[1]][0], Lifetime: places[m[1]][1]})
+		}
+		units[u.key] = out
+		return nil
+	})
+}
+
 // storedProgress is the progress of a job by block, as the journal has it. It is immutable.
-type storedProgress map[int]Progress
+type storedProgress map[int]*storedBlock
 
 // with returns a copy in which a block is replaced.
-func (s storedProgress) with(block int, p Progress) storedProgress {
+func (s storedProgress) with(n int, b *storedBlock) storedProgress {
 	out := maps.Clone(s)
 	if out == nil {
 		out = make(storedProgress)
 	}
-	out[block] = p
+	out[n] = b
 	return out
 }
 
-// merge returns the job's progress. Blocks beside the first count only once it says so.
+// counting returns the blocks that count: those beside the first do only once it says so.
+func (s storedProgress) counting() []*storedBlock {
+	first, ok := s[0]
+	switch {
+	case !ok:
+		return nil
+	case !first.split:
+		return []*storedBlock{first}
+	}
+	return slices.Collect(maps.Values(s))
+}
+
+// state returns the final state that the first block has, if any.
+func (s storedProgress) state() shop.JobState {
+	if first, ok := s[0]; ok {
+		return first.state
+	}
+	return ""
+}
+
+// started reports whether any task has been assigned to a worker.
+func (s storedProgress) started() bool {
+	return slices.ContainsFunc(s.counting(), func(b *storedBlock) bool { return b.units > 0 })
+}
+
+// merge decodes the job's progress.
 func (s storedProgress) merge() Progress {
-	p := s[0]
-	if !p.Split {
-		return p
+	first, ok := s[0]
+	if !ok {
+		return Progress{}
 	}
-	p = p.Clone()
-	for n, block := range s {
-		if n > 0 {
-			maps.Copy(p.Units, block.Units)
-		}
+	blocks, units := s.counting(), 0
+	for _, b := range blocks {
+		units += b.units
+	}
+	out := Progress{State: first.state, Split: first.split, Units: make(map[UnitKey]UnitProgress, units)}
+	for _, b := range blocks {
+		b.addUnits(out.Units)
 	}
-	return p
+	return out
 }
 
 // checked returns the blocks that can be those of the job, and an error about one that can't: another
-// writer may have left it. The known block counts in its place, if there is one.
-func (s storedProgress) checked(j *workflow.Job, known storedProgress) (storedProgress, error) {
+// writer may have left it.
+func (s storedProgress) checked(j *workflow.Job) (storedProgress, error) {
 	out, err := s, error(nil)
-	for n := range s {
-		blockErr := s.checkBlock(j, n)
-		if blockErr == nil {
-			continue
-		}
-		err = blockErr
-		if old, ok := known[n]; ok && known.checkBlock(j, n) == nil {
-			out = out.with(n, old)
-		} else {
+	for n, b := range s {
+		if blockErr := b.check(j, n); blockErr != nil {
+			err = blockErr
 			out = maps.Clone(out)
 			delete(out, n)
 		}
 	}
 	return out, err
 }
-
-// checkBlock returns an error if a block can't be that of the job.
-func (s storedProgress) checkBlock(j *workflow.Job, n int) error {
-	p := s[n]
-	if err := p.check(j); err != nil || n == 0 && !p.Split {
-		return err
-	}
-	for k := range p.Units {
-		if k.block(j) != n {
-			return fmt.Errorf("%w: unit %v in block %d", errOther, k, n)
-		}
-	}
-	return nil
-}
--- a/internal/clusterstate/progress.go
+++ b/internal/clusterstate/progress.go
@@ -100,9 +100,6 @@
 	return p
 }
 
-// Started reports whether any task has been assigned to a worker.
-func (p Progress) Started() bool { return len(p.Units) > 0 }
-
 // errOther is returned for a record that can't be one of the system's own.
 var errOther = errors.New("not a record of this system")
 
@@ -125,27 +122,57 @@
 // maxRuns is more than the runs that any unit can have.
 const maxRuns = 1 << 31
 
-// check returns an error if the progress can't be that of the job: another writer may have left it,
-// and the planner indexes the job's steps by its units.
-func (p Progress) check(j *workflow.Job) error {
-	for k, u := range p.Units {
-		if k.Occurrence < 0 || k.Occurrence >= j.Occurrences() || k.Step < 0 || k.Step >= len(j.Steps) {
-			return fmt.Errorf("%w: unit %v of a job with %d steps", errOther, k, len(j.Steps))
-		}
-		step := &j.Steps[k.Step]
-		if step.Gang != k.IsGang() || k.Index < gangIndex || k.Index >= step.Count ||
-			u.Run < 0 || u.Run > maxRuns || u.Failures < 0 || u.Failures > maxRuns {
-			return fmt.Errorf("%w: unit %v with run %d and %d failures of a step with %d tasks", errOther, k, u.Run, u.Failures, step.Count)
-		}
-		for _, m := range u.Members {
-			if m.Index < 0 || m.Index >= step.Count || !k.IsGang() && m.Index != k.Index || m.AgentName == "" {
-				return fmt.Errorf("%w: unit %v has task %d on %q", errOther, k, m.Index, m.AgentName)
-			}
+// checkUnit returns an error if a unit can't be that of a job: another writer may have left it, and the planner
+// indexes the job's steps by its units.
+func checkUnit(j *workflow.Job, k UnitKey, run, failures int) error {
+	if k.Occurrence < 0 || k.Occurrence >= j.Occurrences() || k.Step < 0 || k.Step >= len(j.Steps) {
+		return fmt.Errorf("%w: unit %v of a job with %d steps", errOther, k, len(j.Steps))
+	}
+	step := &j.Steps[k.Step]
+	if step.Gang != k.IsGang() || k.Index < gangIndex || k.Index >= step.Count ||
+		run < 0 || run > maxRuns || failures < 0 || failures > maxRuns {
+		return fmt.Errorf("%w: unit %v with run %d and %d failures of a step with %d tasks", errOther, k, run, failures, step.Count)
+	}
+	return nil
+}
+
+// checkMember returns an error if a unit that passes checkUnit can't have a task, or if no agent is named for it.
+func checkMember(j *workflow.Job, k UnitKey, index int, named bool) error {
+	if index < 0 || index >= j.Steps[k.Step].Count || !k.IsGang() && index != k.Index {
+		return fmt.Errorf("%w: unit %v has task %d", errOther, k, index)
+	}
+	if !named {
+		return fmt.Errorf("%w: unit %v has task %d on no agent", errOther, k, index)
+	}
+	return nil
+}
+
+// check returns an error if the unit with a key can't be that of the job.
+func (u UnitProgress) check(j *workflow.Job, k UnitKey) error {
+	if err := checkUnit(j, k, u.Run, u.Failures); err != nil {
+		return err
+	}
+	for _, m := range u.Members {
+		if err := checkMember(j, k, m.Index, m.AgentName != ""); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
+// check returns an error if the unit can't be one in a block of the job.
+func (u *scannedUnit) check(head *scannedProgress, j *workflow.Job, n int) error {
+	if err := checkUnit(j, u.key, u.run, u.failures); err != nil {
+		return err
+	}
+	for _, m := range u.members {
+		if err := checkMember(j, u.key, m[0], len(head.places[m[1]][0]) > 0); err != nil {
+			return err
+		}
+	}
+	return checkBlock(j, u.key, n, head.split)
+}
+
 // progressRecord is the encoded form of Progress. Each pair of agent name and lifetime is listed once,
 // since a large job refers to the same ones many times.
 type progressRecord struct {
--- a/internal/clusterstate/state.go
+++ b/internal/clusterstate/state.go
@@ -18,8 +18,7 @@
 	Spec           *workflow.Job
 	AcceptedOffset int64 // Offset of the record that accepted the job.
 	Cancelled      bool
-	Progress       Progress
-	stored         storedProgress // That Progress was merged from.
+	progress       storedProgress
 	// FinalSince is when this process learned that the job is final, zero until then.
 	FinalSince clock.Instant
 }
@@ -29,15 +28,18 @@
 	switch {
 	case j.Cancelled:
 		return shop.Cancelled
-	case j.Progress.State.Final():
-		return j.Progress.State
-	case j.Progress.Started():
+	case j.progress.state().Final():
+		return j.progress.state()
+	case j.progress.started():
 		return shop.Running
 	default:
 		return shop.Queued
 	}
 }
 
+// Progress decodes what planners have decided and learned about the job.
+func (j *Job) Progress() Progress { return j.progress.merge() }
+
 // State is this process's copy of the cluster's state. Records are applied from one goroutine; any
 // goroutine may read.
 type State struct {
@@ -150,21 +152,15 @@
 	return nil
 }
 
-// updateJob replaces a job by a copy that f has modified. The records of a job may come in any order,
-// so its progress is checked once the job itself is known.
-func (s *State) updateJob(id string, f func(*Job)) error {
+// updateJob replaces a job by a copy that f has modified, unless f fails.
+func (s *State) updateJob(id string, f func(*Job) error) error {
 	j := &Job{}
-	var known storedProgress
 	if v, ok := s.jobs.Load(id); ok {
 		*j = *v.(*Job)
-		known = j.stored
 	}
-	f(j)
-	var err error
-	if j.Spec != nil {
-		j.stored, err = j.stored.checked(j.Spec, known)
+	if err := f(j); err != nil {
+		return err
 	}
-	j.Progress = j.stored.merge()
 	if j.FinalSince == 0 && j.State().Final() {
 		j.FinalSince = clock.Now()
 	}
@@ -172,7 +168,7 @@
 	if s.OnJobChanged != nil && j.Spec != nil {
 		s.OnJobChanged(id)
 	}
-	return err
+	return nil
 }
 
 func (s *State) applyJob(id string, r journal.Record) error {
@@ -187,21 +183,30 @@
 	if err := checkJob(id, &spec); err != nil {
 		return err
 	}
-	return s.updateJob(id, func(j *Job) {
+	var odd error
+	err := s.updateJob(id, func(j *Job) error {
 		if j.Spec == nil { // Only the first record counts; a retry by the caller may add another.
 			j.Spec, j.AcceptedOffset = &spec, r.Offset
+			// The records of a job may come in any order, so its progress is checked once it is known.
+			j.progress, odd = j.progress.checked(&spec)
 		}
+		return nil
 	})
+	if err != nil {
+		return err
+	}
+	return odd
 }
 
 func (s *State) applyCancel(id string, r journal.Record) error {
 	if r.Value == nil {
 		return nil // The job is removed by the deletion of its own record.
 	}
-	return s.updateJob(id, func(j *Job) {
-		if !j.Progress.State.Final() {
+	return s.updateJob(id, func(j *Job) error {
+		if !j.progress.state().Final() {
 			j.Cancelled = true
 		}
+		return nil
 	})
 }
 
@@ -209,15 +214,17 @@
 	if r.Value == nil {
 		return nil // The job is removed by the deletion of its own record.
 	}
-	id, block, err := parseBlock(key)
+	id, n, err := parseBlock(key)
 	if err != nil {
 		return err
 	}
-	var p Progress
-	if err := json.Unmarshal(r.Value, &p); err != nil {
+	return s.updateJob(id, func(j *Job) error {
+		b, err := newStoredBlock(r.Value, j.Spec, n)
+		if err == nil {
+			j.progress = j.progress.with(n, b)
+		}
 		return err
-	}
-	return s.updateJob(id, func(j *Job) { j.stored = j.stored.with(block, p) })
+	})
 }
 
 func (s *State) applyPlanner(r journal.Record) error {
--- a/internal/clusterstate/state_test.go
+++ b/internal/clusterstate/state_test.go
@@ -165,7 +165,7 @@
 				t.Error("the record was accepted")
 			}
 			j, _ := s.Job("a")
-			if diff := cmp.Diff(claimedProgress(1, 1), j.Progress); diff != "" {
+			if diff := cmp.Diff(claimedProgress(1, 1), j.Progress()); diff != "" {
 				t.Errorf("progress (-want +got):\n%s", diff)
 			}
 			if _, ok := s.Job("b"); ok {
@@ -243,7 +243,7 @@
 			return
 		}
 		if j, ok := s.Job("a"); ok {
-			for k := range j.Progress.Units {
+			for k := range j.Progress().Units {
 				_ = j.Spec.Steps[k.Step]
 			}
 		}
@@ -307,6 +307,78 @@
 	})
 }
 
+// oddJob has a gang, a step after it, and two occurrences.
+func oddJob() *workflow.Job {
+	j := job("a", 3)
+	j.Steps = append(j.Steps, workflow.Step{Count: 150, Gang: true, Estimate: time.Second}, workflow.Step{Count: 90, After: []int{0}, Estimate: time.Second})
+	j.Repeat = workflow.Repeat{Times: 2}
+	return j
+}
+
+// Progress in the form that MarshalJSON writes is read in another way than any other. Both must accept the same
+// records, and give the same progress; a space in front makes it another form.
+func FuzzForms(f *testing.F) {
+	for _, value := range []string{
+		`{}`, `{"state":"done"}`, `{"state":"done","split":true}`, `{"split":true}`, `{"split":false}`, `{"places":[]}`,
+		`{"state":"failed","places":[["n","l"],["m",""]],"units":[{"k":[0,0,1],"r":1,"f":2,"d":true,"c":"ab","m":[[1,0]]},{"k":[1,1,-1],"r":3,"m":[[149,1],[0,0]]}]}`,
+		`{"units":[{"k":[0,0,1],"r":1},{"k":[0,0,1],"r":2}]}`, `{"units":[{"k":[0,0,9],"r":1},{"k":[0,0,1],"r":2}]}`,
+		`{"units":[{"k":[0,0,1],"r":-0}]}`, `{"units":[{"k":[0,0,1],"r":01}]}`, `{"units":[{"k":[0,0,1],"r":999999999999999999}]}`,
+		`{"units":[{"k":[0,0,1],"r":9999999999999999999}]}`, `{"units":[{"k":[0,0,1],"r":1,"c":"a\\u0062"}]}`, `{"units":[{"k":[0,0,1],"r":1,"c":"a` + "\xff" + `"}]}`,
+		`{"places":[["","l"]],"units":[{"k":[0,0,1],"r":1,"m":[[1,0]]}]}`, `{"units":[{"k":[0,0,1],"r":1,"m":[[1,0]]}]}`, `{"units":[{"k":[0,0,1],"r":1}]}}`,
+		`{"split":true,"units":[{"k":[0,2,80],"r":1}]}`, `{"units":[{"k":[0,2,80],"r":1}]}`, `{"units":[{"k":[0,0,1],"r":1}`, `{"units":[{"k":[0,0,1],"r":1},]}`,
+	} {
+		f.Add("p/a", []byte(value))
+		f.Add("p/a/1", []byte(value))
+	}
+	f.Fuzz(func(t *testing.T, key string, value []byte) {
+		if !strings.HasPrefix(key, "p/a") {
+			return
+		}
+		for _, jobFirst := range []bool{true, false} {
+			var got [2]clusterstate.Progress
+			var refused [2]bool
+			for i, v := range []string{string(value), " " + string(value)} {
+				s := &clusterstate.State{}
+				records := []journal.Record{clusterstate.JobRecord(oddJob()), {Key: key, Value: []byte(v)}}
+				if key != "p/a" {
+					records = append(records, journal.Record{Key: "p/a", Value: []byte(`{"split":true}`)})
+				}
+				if !jobFirst {
+					slices.Reverse(records)
+				}
+				for _, r := range records {
+					refused[i] = s.Apply(r) != nil || refused[i]
+				}
+				if j, ok := s.Job("a"); ok {
+					got[i] = j.Progress()
+				}
+			}
+			if diff := cmp.Diff(got[1], got[0]); diff != "" || refused[0] != refused[1] {
+				t.Errorf("refused: %v, progress (-other form +usual form):\n%s", refused, diff)
+			}
+		}
+	})
+}
+
+// An entry that doesn't plan decodes no units: what it allocates for a record must not grow with the job's tasks.
+func TestUnitsAreDecodedOnDemand(t *testing.T) {
+	s := apply(t, clusterstate.JobRecord(job("a", 470)))
+	r := clusterstate.ProgressRecord("a", claimedProgress(1, 470))
+	allocations := testing.AllocsPerRun(100, func() {
+		if err := s.Apply(r); err != nil {
+			t.Fatal(err)
+		}
+	})
+	if allocations > 30 {
+		t.Errorf("%v allocations for a record with 470 units, want 30 at most", allocations)
+	}
+	clear(r.Value) // Its memory belongs to the page that was read.
+	j, _ := s.Job("a")
+	if diff := cmp.Diff(claimedProgress(1, 470), j.Progress()); diff != "" {
+		t.Errorf("progress (-want +got):\n%s", diff)
+	}
+}
+
 // BenchmarkRecovery measures how long a new entry takes to rebuild the state of unfinished jobs
 // with ten tasks each.
 func BenchmarkRecovery(b *testing.B) {
@@ -405,7 +477,7 @@
 			if !ok {
 				t.Fatal("the job is not known")
 			}
-			if diff := cmp.Diff(tt.want, got.Progress); diff != "" {
+			if diff := cmp.Diff(tt.want, got.Progress()); diff != "" {
 				t.Errorf("progress (-want +got):\n%s", diff)
 			}
 		})
@@ -435,7 +507,7 @@
 	u.Checkpoint = ""
 	want.Units[clusterstate.UnitKey{Index: 1}] = u
 	got, _ := s.Job("a")
-	if diff := cmp.Diff(want, got.Progress); diff != "" {
+	if diff := cmp.Diff(want, got.Progress()); diff != "" {
 		t.Errorf("progress (-want +got):\n%s", diff)
 	}
 }
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -49,7 +49,8 @@
 // newJob returns the planner's copy of a job that was submitted no longer ago than maxAge.
 func newJob(stored *clusterstate.Job, maxAge time.Duration) *job {
 	return &job{
-		spec: stored.Spec, submitted: submittedAt(stored.Spec.Submitted, time.Now(), maxAge), acceptedOffset: stored.AcceptedOffset, progress: stored.Progress.Clone(), cancelled: stored.Cancelled,
+		spec: stored.Spec, submitted: submittedAt(stored.Spec.Submitted, time.Now(), maxAge),
+		acceptedOffset: stored.AcceptedOffset, progress: stored.Progress().Clone(), cancelled: stored.Cancelled,
 		unitStates: make(map[clusterstate.UnitKey]*unitState), changed: make(map[clusterstate.UnitKey]bool),
 	}
 }
