clusterstate, dispatch: a change of a job stores the blocks that it changed

Now progress is split into the blocks of 100 units that entries read since, as soon as a unit beyond the first block starts. The first block is written only when it has changed or the job is final. All records of a pass go into one append as before.

A planner may be lost between the appends of its first split. The blocks that it stored don't count, but they would have once a later planner split the progress without having units in them. When the store has rejected a record, all blocks are stored again as in a first split.

Changed test: TestRejectedRecordAffectsItsJobOnly rejected records over 10 KiB, which a job of 500 tasks no longer has. Its store now rejects records over 2 KiB, so that all blocks are, and all 500 tasks must not start, not only the first.

--- a/internal/clusterstate/block.go
+++ b/internal/clusterstate/block.go
@@ -14,13 +14,14 @@
 	"sniperill.example/sniperill/pkg/workflow"
 )
 
-// The progress of a job is one record as long as that is small enough for the store. Otherwise its units
-// are split into blocks, with a record each. Block 0 is in the record that also has the job's state, and
-// which says that there are others.
+// The progress of a job is one record until a unit beyond the first block has started, or the record would be too
+// large for the store. From then on each block of units has a record of its own, so that a change costs as much
+// in a large job as in a small one. Block 0 is in the record that also has the job's state, and which says that
+// there are others.
 const (
 	// maxProgressBytes is the size from which progress is split. The store takes 256 KiB a record.
 	maxProgressBytes = 200 << 10
-	// blockUnits is the number of units in a block.
+	// blockUnits is the number of units in a block. Readers of any version must agree on it.
 	blockUnits = 100
 )
 
@@ -33,42 +34,68 @@
 	return n / blockUnits
 }
 
-// blocks returns the progress of each block. Only block 0 has the state.
-func (p Progress) blocks(j *workflow.Job) map[int]Progress {
-	out := map[int]Progress{0: {State: p.State, Split: p.Split, Units: make(map[UnitKey]UnitProgress)}}
-	for k, u := range p.Units {
-		n := k.block(j)
-		if _, ok := out[n]; !ok {
-			out[n] = Progress{Units: make(map[UnitKey]UnitProgress)}
-		}
-		out[n].Units[k] = u
+// blockNumbers returns the numbers of the blocks that the units are in, and 0.
+func (p Progress) blockNumbers(j *workflow.Job) map[int]bool {
+	out := map[int]bool{0: true}
+	for k := range p.Units {
+		out[k.block(j)] = true
 	}
 	return out
 }
 
-// ProgressRecords returns the records that store a job's progress in which some units have changed, and
-// whether it is split from now on. Each block can be read without the others, so the records may be
-// stored by several appends, in their order.
-func ProgressRecords(j *workflow.Job, p Progress, changed map[UnitKey]bool) (records []journal.Record, split bool) {
-	if !p.Split {
-		if r := ProgressRecord(j.ID, p); len(r.Value) <= maxProgressBytes {
-			return []journal.Record{r}, false
+// blocks returns the progress of the blocks with given numbers. Only block 0 has the state.
+func (p Progress) blocks(j *workflow.Job, numbers map[int]bool) map[int]Progress {
+	out := make(map[int]Progress, len(numbers))
+	for n := range numbers {
+		out[n] = Progress{Units: make(map[UnitKey]UnitProgress)}
+	}
+	for k, u := range p.Units {
+		if b, ok := out[k.block(j)]; ok {
+			b.Units[k] = u
 		}
 	}
+	if first, ok := out[0]; ok {
+		first.State, first.Split = p.State, true
+		out[0] = first
+	}
+	return out
+}
+
+// ProgressRecords returns the records that store a job's progress in which some units have changed, and whether it
+// is split from now on. Block 0 is stored only when it has changed. stored has the numbers of the blocks that the
+// journal may have from earlier planners: they count once the progress is split, so they are replaced then. Each
+// block can be read without the others, so the records may be stored by several appends, in their order.
+func ProgressRecords(j *workflow.Job, p Progress, changed map[UnitKey]bool, stored []int) (records []journal.Record, split bool) {
 	all := !p.Split
 	written := make(map[int]bool)
+	if all {
+		written = p.blockNumbers(j)
+		if len(written) == 1 {
+			if r := ProgressRecord(j.ID, p); len(r.Value) <= maxProgressBytes {
+				return []journal.Record{r}, false
+			}
+		}
+		for _, n := range stored {
+			written[n] = true
+		}
+	}
 	for k := range changed {
 		written[k.block(j)] = true
 	}
-	p.Split = true
-	blocks := p.blocks(j)
-	for _, n := range slices.Sorted(maps.Keys(blocks)) {
-		if n > 0 && (all || written[n]) {
+	if p.State != "" || len(written) == 0 {
+		written[0] = true
+	}
+	blocks := p.blocks(j, written)
+	for _, n := range slices.Sorted(maps.Keys(written)) {
+		if n > 0 {
 			records = append(records, blocks[n].limitedRecord(blockKey(j.ID, n)))
 		}
 	}
-	// The record that says that there are others comes last.
-	return append(records, blocks[0].limitedRecord(progressPrefix+j.ID)), true
+	if written[0] {
+		// The record that says that there are others comes last.
+		records = append(records, blocks[0].limitedRecord(progressPrefix+j.ID))
+	}
+	return records, true
 }
 
 // limitedRecord returns the record of a block. It leaves out the longest checkpoints if the record would
@@ -93,13 +120,9 @@
 	return r
 }
 
-// Blocks returns the numbers of the blocks in which a job's units are stored beside the first one.
+// Blocks returns the numbers of the blocks beside the first one in which a job has units.
 func (p Progress) Blocks(j *workflow.Job) []int {
-	if !p.Split {
-		return nil
-	}
-	out := slices.Sorted(maps.Keys(p.blocks(j)))
-	return out[1:]
+	return slices.Sorted(maps.Keys(p.blockNumbers(j)))[1:]
 }
 
 func blockKey(id string, n int) string { return progressPrefix + id + "/" + strconv.Itoa(n) }
--- a/internal/clusterstate/record.go
+++ b/internal/clusterstate/record.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -121,7 +122,7 @@
 // beside the first.
 func DeletionRecords(id string, blocks ...int) []journal.Record {
 	var out []journal.Record
-	for _, n := range blocks {
+	for _, n := range slices.Compact(slices.Sorted(slices.Values(blocks))) {
 		out = append(out, journal.Record{Key: blockKey(id, n)})
 	}
 	return append(out,
--- a/internal/clusterstate/slope_bench_test.go
+++ b/internal/clusterstate/slope_bench_test.go
@@ -30,7 +30,7 @@
 			p.Units[k], changed[k] = u, true
 		}
 		var pass []journal.Record
-		pass, p.Split = clusterstate.ProgressRecords(j, p, changed)
+		pass, p.Split = clusterstate.ProgressRecords(j, p, changed, nil)
 		records = append(records, pass...)
 		appends++
 	}
@@ -86,3 +86,15 @@
 		})
 	}
 }
+
+// BenchmarkSlopeStore measures by the number of a job's tasks what each costs a planner that encodes the records.
+func BenchmarkSlopeStore(b *testing.B) {
+	for _, tasks := range []int{10, 47, 100, 200, 470} {
+		b.Run(fmt.Sprint("tasks=", tasks), func(b *testing.B) {
+			for b.Loop() {
+				jobRecords(tasks)
+			}
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N*tasks), "µs/task")
+		})
+	}
+}
--- a/internal/clusterstate/state.go
+++ b/internal/clusterstate/state.go
@@ -40,6 +40,17 @@
 // Progress decodes what planners have decided and learned about the job.
 func (j *Job) Progress() Progress { return j.progress.merge() }
 
+// Blocks returns the numbers of the blocks beside the first one that the journal has, whether or not they count.
+func (j *Job) Blocks() []int {
+	var out []int
+	for n := range j.progress {
+		if n > 0 {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
 // State is this process's copy of the cluster's state. Records are applied from one goroutine; any
 // goroutine may read.
 type State struct {
--- a/internal/clusterstate/state_test.go
+++ b/internal/clusterstate/state_test.go
@@ -419,7 +419,7 @@
 			p.Units[k] = u
 		}
 	}
-	records, split := clusterstate.ProgressRecords(j, before, nil)
+	records, split := clusterstate.ProgressRecords(j, before, nil, nil)
 	if !split || len(records) < 2 {
 		t.Fatalf("%d records, split %v; want several", len(records), split)
 	}
@@ -430,7 +430,7 @@
 	}
 	before.Split, after.Split = true, true
 	changed := map[clusterstate.UnitKey]bool{{Index: 7}: true, {Index: 777}: true}
-	update, _ := clusterstate.ProgressRecords(j, after, changed)
+	update, _ := clusterstate.ProgressRecords(j, after, changed, nil)
 	if len(update) != 2 {
 		t.Errorf("%d records for changes in two blocks, want 2", len(update))
 	}
@@ -494,13 +494,72 @@
 	}
 }
 
+// A change of a large job must not cost more at the store than its block.
+func TestChangeStoresItsBlockOnly(t *testing.T) {
+	j, p := job("a", 470), claimedProgress(1, 470)
+	_, p.Split = clusterstate.ProgressRecords(j, p, nil, nil)
+	tests := []struct {
+		name    string
+		changed []int
+		want    []string // Keys of the records.
+	}{
+		{"the first block", []int{7, 99}, []string{"p/a"}},
+		{"another block", []int{301, 302}, []string{"p/a/3"}},
+		{"two blocks", []int{99, 469}, []string{"p/a/4", "p/a"}},
+		{"the state alone", nil, []string{"p/a"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			changed := make(map[clusterstate.UnitKey]bool)
+			for _, i := range tt.changed {
+				changed[clusterstate.UnitKey{Index: i}] = true
+			}
+			records, _ := clusterstate.ProgressRecords(j, p, changed, nil)
+			var keys []string
+			for _, r := range records {
+				keys = append(keys, r.Key)
+				if len(r.Value) > 10<<10 {
+					t.Errorf("record %q has %d bytes, want 10 KiB at most", r.Key, len(r.Value))
+				}
+			}
+			if diff := cmp.Diff(tt.want, keys); diff != "" {
+				t.Errorf("records (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// A planner has stored a block, but not the record that says so, and another one went on without it. When the
+// progress is split later, the block must not count.
+func TestBlockOfLostSplitIsReplaced(t *testing.T) {
+	const tasks = 250
+	j := job("a", tasks)
+	lost, _ := clusterstate.ProgressRecords(j, claimedProgress(1, tasks), nil, nil)
+	records := []journal.Record{clusterstate.JobRecord(j), lost[0], clusterstate.ProgressRecord("a", claimedProgress(1, 100))}
+	if lost[0].Key != "p/a/1" {
+		t.Fatalf("the first record is %q", lost[0].Key)
+	}
+	known, _ := apply(t, records...).Job("a")
+	p := known.Progress()
+	u := clusterstate.UnitProgress{Run: 7}
+	last := clusterstate.UnitKey{Index: tasks - 1}
+	p.Units[last] = u
+	split, _ := clusterstate.ProgressRecords(j, p, map[clusterstate.UnitKey]bool{last: true}, known.Blocks())
+	want := claimedProgress(1, 100)
+	want.Split, want.Units[last] = true, u
+	got, _ := apply(t, append(records, split...)...).Job("a")
+	if diff := cmp.Diff(want, got.Progress()); diff != "" {
+		t.Errorf("progress (-want +got):\n%s", diff)
+	}
+}
+
 // A checkpoint that no record can hold is left out, so that the task starts from its beginning.
 func TestHugeCheckpointsAreLeftOut(t *testing.T) {
 	p := claimedProgress(1, 3)
 	u := p.Units[clusterstate.UnitKey{Index: 1}]
 	u.Checkpoint = strings.Repeat("c", 1<<20)
 	p.Units[clusterstate.UnitKey{Index: 1}] = u
-	records, _ := clusterstate.ProgressRecords(job("a", 3), p, nil)
+	records, _ := clusterstate.ProgressRecords(job("a", 3), p, nil, nil)
 	s := apply(t, append([]journal.Record{clusterstate.JobRecord(job("a", 3))}, records...)...)
 	want := claimedProgress(1, 3)
 	want.Split = true
--- a/internal/dispatch/active.go
+++ b/internal/dispatch/active.go
@@ -370,7 +370,7 @@
 				b.finalJobs = append(b.finalJobs, j)
 			}
 		case ap.expired(j):
-			b.records = append(b.records, clusterstate.DeletionRecords(id, j.progress.Blocks(j.spec)...)...)
+			b.records = append(b.records, clusterstate.DeletionRecords(id, append(j.progress.Blocks(j.spec), j.blocks...)...)...)
 			delete(ap.jobs, id)
 		}
 	}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -20,6 +20,7 @@
 	cancelled      bool
 	dirty          bool
 	changed        map[clusterstate.UnitKey]bool // Units that have changed since the job was stored.
+	blocks         []int                         // Of its progress that the journal had when this planner took it over.
 	rejected       bool                          // The store has rejected its newest records.
 	retryAt        clock.Instant                 // They are stored again then.
 	finalizedAt    clock.Instant                 // When this planner made it final; zero if it didn't.
@@ -51,7 +52,7 @@
 	return &job{
 		spec: stored.Spec, submitted: submittedAt(stored.Spec.Submitted, time.Now(), maxAge),
 		acceptedOffset: stored.AcceptedOffset, progress: stored.Progress().Clone(), cancelled: stored.Cancelled,
-		unitStates: make(map[clusterstate.UnitKey]*unitState), changed: make(map[clusterstate.UnitKey]bool),
+		blocks: stored.Blocks(), unitStates: make(map[clusterstate.UnitKey]*unitState), changed: make(map[clusterstate.UnitKey]bool),
 	}
 }
 
@@ -127,7 +128,7 @@
 // takeRecords returns the records that store what has changed.
 func (j *job) takeRecords() []journal.Record {
 	var records []journal.Record
-	records, j.progress.Split = clusterstate.ProgressRecords(j.spec, j.progress, j.changed)
+	records, j.progress.Split = clusterstate.ProgressRecords(j.spec, j.progress, j.changed, j.blocks)
 	j.dirty = false
 	clear(j.changed)
 	j.unstoredEnds, j.storingEnds = nil, j.unstoredEnds
@@ -152,9 +153,7 @@
 func (j *job) retry() {
 	j.rejected, j.dirty, j.finalSent = true, true, false
 	j.retryAt = clock.Now().Add(storeRetryDelay)
-	for k := range j.progress.Units {
-		j.changed[k] = true
-	}
+	j.progress.Split = false // So that all of its blocks are stored.
 	for at, number := range j.storingEnds {
 		j.recordEnd(at, number)
 	}
--- a/internal/dispatch/large_test.go
+++ b/internal/dispatch/large_test.go
@@ -89,7 +89,7 @@
 // A job whose progress the store rejects starts nothing, and affects no other job.
 func TestRejectedRecordAffectsItsJobOnly(t *testing.T) {
 	withVirtualTime(t, func(t *testing.T) {
-		c := newClusterWith(t, 2, 2, func(s *standin.Store) { s.MaxRecord = 10 << 10 }, func(*standin.Executor) {})
+		c := newClusterWith(t, 2, 2, func(s *standin.Store) { s.MaxRecord = 2 << 10 }, func(*standin.Executor) {})
 		time.Sleep(3 * time.Second)
 		before := c.plannerRecords()
 		c.submit("rejected", "red", "batch", small(2, 500))
@@ -101,8 +101,10 @@
 		if n := c.plannerRecords() - before; n != 0 {
 			t.Errorf("%d planners gave up or stepped up, want none", n)
 		}
-		if n := c.runs.count("rejected.0.0.0"); n != 0 {
-			t.Errorf("a task of the rejected job was started %d times, want 0: its claim is not stored", n)
+		for i := range 500 {
+			if n := c.runs.count(fmt.Sprint("rejected.0.0.", i)); n != 0 {
+				t.Fatalf("task %d of the rejected job was started %d times, want 0: its claim is not stored", i, n)
+			}
 		}
 	})
 }
