dispatch: an agent gets a lease grant once its worker has answered it

Callers saw a task stay "running" for as long as its worker was gone for good and the agent's process restarted more often than a lease lasts.

Each process of an agent got a grant before any contact with its worker, so it could renew a lease unseen after a report without one, and the planner counted a full lease from the first report of each. Now a report without contact gets no grant, so the lease counts from the newest report of a process that had contact, whichever it was. The sum of a lease's terms is in leaseEnd alone.

--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -184,7 +184,7 @@
 			ap.runEnded(m, 0, "", "the worker's lifetime is over")
 		case ap.notRenewed(m):
 			ap.runEnded(m, 0, "", "its agent has not renewed the lease of the lifetime for longer than it lasts")
-		case now > ap.leaseEnd(m.worker):
+		case now > ap.leaseEnd(m.worker.receivedAt):
 			ap.runEnded(m, 0, "", "the worker's lease has lapsed")
 		case m.status != stopping && m.job.final():
 			m.requestStop()
--- a/internal/dispatch/nextlifetime_test.go
+++ b/internal/dispatch/nextlifetime_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"sniperill.example/sniperill/internal/clock"
 	"sniperill.example/sniperill/internal/host"
 	"sniperill.example/sniperill/pkg/shop"
 )
@@ -120,9 +121,9 @@
 		a := c.agents[0]
 		a.machine.Executor().Crash()
 		go func() {
-			for range 12 {
+			for c.ctx.Err() == nil {
 				c.restartAgent(a)
-				time.Sleep(8 * time.Second)
+				_ = clock.Pause(c.ctx, 8*time.Second)
 			}
 		}()
 		c.await(30*time.Second, shop.Done, "a")
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -13,7 +13,7 @@
 func (ap *activePlanner) applyReport(w *worker, m *pb.WatchResponse, asked clock.Instant) {
 	now := clock.Now()
 	if m.GetAgentLife() != w.agentIncarnation { // Another process may have renewed the lease, also for an earlier planner.
-		w.otherLeaseEnd, w.lifetimeSince = ap.leaseEnd(w), now
+		w.otherLeaseEnd, w.lifetimeSince = ap.leaseEnd(w.contactAt), now
 	}
 	w.agentIncarnation, w.reportNumber, w.reportVersion, w.askedAt = m.GetAgentLife(), m.GetReport(), m.GetVersion(), asked
 	// An agent that was silent may have been frozen, and reports what it knew before.
@@ -31,6 +31,9 @@
 		w.toldEnd, w.toldAt, w.moreEnds = 0, 0, false
 		w.health = health{}
 	}
+	if w.inContact() {
+		w.contactAt = now
+	}
 	w.hardware = workflow.Worker{
 		Service: h.GetService(), Rack: h.GetRack(), Labels: h.GetLabels(),
 		Resources: workflow.Resources{
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -65,6 +65,7 @@
 	reportNumber     uint64
 	reportVersion    uint64
 	receivedAt       clock.Instant // When the newest report arrived; zero before the first.
+	contactAt        clock.Instant // When the newest report arrived that the lease was granted on.
 	lifetime         string
 	lifetimeSince    clock.Instant // When this incarnation of the agent first reported it.
 	answered         bool          // The worker has answered its agent in it.
@@ -173,9 +174,13 @@
 	return err1 == nil && err2 == nil && now.StartedUnixMS > then.StartedUnixMS
 }
 
-// notRenewed reports whether the agent was in no contact with the lifetime of a member for longer than any lease,
-// so that the lease there was not renewed. It may have been in contact since its newest report, so that report
-// counts, not the time. A member that may be running in a later lifetime is left to its stop there.
+// inContact reports whether the worker has answered its agent in its lifetime. Before, an agent gets no grant, so
+// that it can't have renewed a lease after a report of that.
+func (w *worker) inContact() bool { return w.answered && w.lifetime != "" }
+
+// notRenewed reports whether the lease of a member's lifetime has not been renewed for longer than it lasts. An
+// agent in contact with another lifetime may have been in contact with the member's since its newest report, so
+// that report counts, not the time. A member that may be running in a later lifetime is left to its stop there.
 func (ap *activePlanner) notRenewed(m *member) bool {
 	w := m.worker
 	switch {
@@ -183,25 +188,27 @@
 		return false
 	case m.laterLifetime != "" && m.laterLifetime == w.lifetime:
 		return false
+	case !w.inContact():
+		return clock.Now() > ap.leaseEnd(w.contactAt)
 	}
-	return w.askedAt > w.lifetimeSince.Add(ap.Lease+ap.StopTimeout+leaseSlack)
+	return w.askedAt > ap.leaseEnd(w.lifetimeSince)
 }
 
-// leaseEnd returns when the worker's lease has ended for certain. An older planner may have
-// granted a full lease at any time before this one stepped up.
-func (ap *activePlanner) leaseEnd(w *worker) clock.Instant {
-	return max(w.receivedAt, ap.startedAt).Add(ap.Lease + ap.StopTimeout + leaseSlack)
+// leaseEnd returns when a lease has ended for certain that was last granted on a report which arrived at a time.
+// An older planner may have granted a full lease at any time before this one stepped up.
+func (ap *activePlanner) leaseEnd(reported clock.Instant) clock.Instant {
+	return max(reported, ap.startedAt).Add(ap.Lease + ap.StopTimeout + leaseSlack)
 }
 
-// grant returns how long the lease may last from when the newest report was sent. The lease ends at most
-// one full lease after the newest read that reached the journal's end was sent: a read of a part of the
+// grant returns how long the lease of a worker may last from when the newest report was sent. The lease ends at
+// most one full lease after the newest read that reached the journal's end was sent: a read of a part of the
 // records need not show that another planner has stepped up.
-func (ap *activePlanner) grant(received clock.Instant) time.Duration {
+func (ap *activePlanner) grant(w *worker) time.Duration {
 	caughtUp := ap.Follower.CaughtUpAt()
-	if ap.replaced.Load() { // Set before the read that showed it counts.
+	if ap.replaced.Load() || !w.inContact() { // replaced is set before the read that showed it counts.
 		return 0
 	}
-	return min(ap.Lease, caughtUp.Add(ap.Lease).Sub(received))
+	return min(ap.Lease, caughtUp.Add(ap.Lease).Sub(w.receivedAt))
 }
 
 // watchFunc is the Watch call of an agent.
@@ -244,7 +251,7 @@
 	w.noteTold(clock.Now())
 	return &pb.WatchRequest{
 		Epoch: ap.epoch, AgentLife: w.agentIncarnation, Report: w.reportNumber,
-		Grant:    durationpb.New(ap.grant(w.receivedAt)),
+		Grant:    durationpb.New(ap.grant(w)),
 		Lifetime: w.storedEnds.lifetime, StoredEnd: w.storedEnds.number,
 		SeenVersion: w.reportVersion, Wait: durationpb.New(watchWait), Agent: w.name,
 	}
@@ -293,7 +300,7 @@
 	defer ap.mu.Unlock()
 	req := &pb.OrderRequest{
 		Epoch: ap.epoch, Lifetime: w.lifetime,
-		AgentLife: w.agentIncarnation, Report: w.reportNumber, Grant: durationpb.New(ap.grant(w.receivedAt)),
+		AgentLife: w.agentIncarnation, Report: w.reportNumber, Grant: durationpb.New(ap.grant(w)),
 		Agent: w.name,
 	}
 	if w.storedEnds.lifetime == w.lifetime {
