dispatch: a run is over only once what its start may begin in the next lifetime is, too

Callers saw a task run twice for 0.3 to 1.2 s: its worker restarted under its id with the start on its way, and the next lifetime carried it out, under a lease from its arrival there. The planner took the run as over one lease after the newest report.

The planner now keeps until when a start may take effect, and a run whose worker's lifetime or lease is over waits until a lease from that time has ended. An order for starts is refused 1.5 s after it was sent, so that this time is short. The planner needs the longest lease that a worker takes for this, which is longer than what it grants.

--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -641,7 +641,7 @@
 
 // options are the settings of the smaller of the users' sites.
 var options = dispatch.Options{
-	Lease: 9500 * time.Millisecond, StopTimeout: 200 * time.Millisecond, RemoteFactor: 3,
+	Lease: 9500 * time.Millisecond, MaxLease: maxLease, StopTimeout: 200 * time.Millisecond, RemoteFactor: 3,
 	CheckpointInterval: time.Second, Retention: 10 * time.Minute,
 }
 
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -38,6 +38,7 @@
 	laterLifetime string
 	status        status
 	orderInFlight bool          // A start or stop was sent and has not been answered.
+	lateUntil     clock.Instant // Until then its start may take effect; zero if an earlier planner sent it.
 	lastStopAt    clock.Instant // When the newest stop was sent.
 	// ackedEndAtStop is up to which number the worker had forgotten its ended runs by then, at least.
 	ackedEndAtStop uint64
@@ -179,13 +180,12 @@
 func (ap *activePlanner) checkMembers() {
 	now := clock.Now()
 	for _, m := range sortedMembers(ap.members) {
+		over := ap.whyOver(m, now)
 		switch {
-		case m.worker.lifetimeEnded(m.lifetime) && !m.stopInCurrentLifetime():
-			ap.runEnded(m, 0, "", "the worker's lifetime is over")
-		case ap.notRenewed(m):
-			ap.runEnded(m, 0, "", "its agent has not renewed the lease of the lifetime for longer than it lasts")
-		case now > ap.leaseEnd(m.worker.receivedAt):
-			ap.runEnded(m, 0, "", "the worker's lease has lapsed")
+		case over != "" && ap.mayRunLate(m, now):
+			ap.requestUnitStop(m.job, m.key)
+		case over != "":
+			ap.runEnded(m, 0, "", over)
 		case m.status != stopping && m.job.final():
 			m.requestStop()
 		case ap.outlastsDrain(m, now):
@@ -196,6 +196,35 @@
 	}
 }
 
+// whyOver returns why a member's run in its worker's lifetime is over, and an empty string if it may not be.
+func (ap *activePlanner) whyOver(m *member, now clock.Instant) string {
+	switch {
+	case m.worker.lifetimeEnded(m.lifetime) && !m.stopInCurrentLifetime():
+		return "the worker's lifetime is over"
+	case ap.notRenewed(m):
+		return "its agent has not renewed the lease of the lifetime for longer than it lasts"
+	case now > ap.leaseEnd(m.worker.receivedAt):
+		return "the worker's lease has lapsed"
+	}
+	return ""
+}
+
+// mayRunLate reports whether the start of a member may take effect in the next lifetime of its worker with the same
+// id, or may have, and its run is under a lease there. No call reaches a worker that answers under another id.
+func (ap *activePlanner) mayRunLate(m *member, now clock.Instant) bool {
+	if m.lateUntil == 0 || m.worker.answersAsOther(m.lifetime) {
+		return false
+	}
+	return now <= m.lateUntil.Add(host.LongestLease(ap.MaxLease)+ap.StopTimeout+leaseSlack)
+}
+
+// answersAsOther reports whether the worker answers its agent under another id than in a lifetime.
+func (w *worker) answersAsOther(lifetime string) bool {
+	now, err1 := host.ParseLifetime(w.lifetime)
+	then, err2 := host.ParseLifetime(lifetime)
+	return w.answered && err1 == nil && err2 == nil && now.ID != then.ID
+}
+
 // drainSlack is how much longer than announced a draining worker usually stays.
 const drainSlack = 500 * time.Millisecond
 
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -83,8 +83,10 @@
 
 // Options are the deployment's settings that planning depends on.
 type Options struct {
-	// Lease is the longest lease of a worker.
+	// Lease is the longest lease of a worker that is granted.
 	Lease time.Duration
+	// MaxLease is the longest lease that a worker takes.
+	MaxLease time.Duration
 	// StopTimeout bounds how long a stop takes.
 	StopTimeout time.Duration
 	// RemoteFactor is how many times longer a task takes away from its data or rack.
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -31,6 +31,8 @@
 	maxOrders = 64
 	// maxReportAge is the age of its newest report at which a worker stops getting new tasks.
 	maxReportAge = 2500 * time.Millisecond
+	// startWindow bounds how long after it was sent an agent carries out an order for starts.
+	startWindow = 1500 * time.Millisecond
 	// leaseSlack is added to a lease's end, for the runs under it to stop.
 	leaseSlack = 300 * time.Millisecond
 	// ackTimeout is the time, as far as an agent reports, within which it has passed on to its worker up to
@@ -329,6 +331,13 @@
 			req.Stops = append(req.Stops, &pb.StopTask{Task: m.task, Run: int64(m.run)})
 		}
 	}
+	if len(starts) > 0 {
+		received := w.receivedAt
+		req.Grant = durationpb.New(min(req.GetGrant().AsDuration(), now.Add(startWindow).Sub(received)))
+		for _, m := range starts {
+			m.lateUntil = received.Add(req.GetGrant().AsDuration() + host.LateStartTimeout)
+		}
+	}
 	req.Stops = append(req.Stops, w.unclaimedRuns...) // Their results come last and are ignored.
 	w.unclaimedRuns = nil
 	if len(req.GetStarts())+len(req.GetStops()) == 0 && !w.mustTell(now) {
@@ -361,6 +370,12 @@
 			continue // The run was known to have ended before the answer arrived.
 		}
 		result := results[i]
+		switch {
+		case result.GetSettled(): // It has taken effect by now, maybe in the worker's next lifetime.
+			m.lateUntil = min(m.lateUntil, clock.Now())
+		case m.status == starting && result.GetOutcome() == pb.Outcome_OUTCOME_UNKNOWN: // The agent has sent its last attempt.
+			m.lateUntil = min(m.lateUntil, clock.Now().Add(host.LateCallTimeout))
+		}
 		switch result.GetOutcome() {
 		case pb.Outcome_OUTCOME_STARTED:
 			if m.status == starting {
--- a/internal/host/handler.go
+++ b/internal/host/handler.go
@@ -205,9 +205,10 @@
 // refuseUnsent returns the result of a start that this process doesn't send. For an order that an earlier process got,
 // that one may have sent it.
 func (a *Agent) refuseUnsent(m *pb.OrderRequest, o *pb.StartTask, reason string) *pb.OrderResult {
+	unsent := m.GetAgentLife() == a.Incarnation
 	return &pb.OrderResult{
 		Task: o.GetTask(), Run: o.GetRun(), Outcome: pb.Outcome_OUTCOME_REFUSED, Detail: reason,
-		Unsent: m.GetAgentLife() == a.Incarnation,
+		Unsent: unsent, Settled: unsent,
 	}
 }
 
@@ -254,12 +255,12 @@
 
 // startsOver reports whether no start of a run can reach the worker any more, as its first stop was delivered long
 // ago: since then this process sends none, an earlier one sent none for longer than a lease, and a call takes effect
-// within lateCallTimeout.
+// within LateCallTimeout.
 func (a *Agent) startsOver(run taskRun) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	s, ok := a.deliveries.stops[run.task]
-	return ok && s.run == run.run && clock.Since(s.first) > a.longestLease()+lateCallTimeout
+	return ok && s.run == run.run && clock.Since(s.first) > LongestLease(a.MaxLease)+LateCallTimeout
 }
 
 // forgetDeliveries removes the deliveries of orders that are refused as too old by now. The caller holds the lock.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -34,8 +34,8 @@
 	// confirmTimeout bounds the second of these calls. A worker waits a second for the acknowledgement of its
 	// heartbeat.
 	confirmTimeout = 600 * time.Millisecond
-	// lateCallTimeout bounds how long after it was sent a worker carries out a call.
-	lateCallTimeout = 5 * time.Second
+	// LateCallTimeout bounds how long after it was sent a worker carries out a call.
+	LateCallTimeout = 5 * time.Second
 	// maxEndedLifetimes bounds the list of ended lifetimes in a report; a worker seldom has two in
 	// a minute.
 	maxEndedLifetimes = 32
@@ -188,7 +188,7 @@
 		a.ignored.since = clock.Now()
 		return true
 	}
-	if hb.Sequence <= before.sequence || clock.Since(before.since) <= lateCallTimeout {
+	if hb.Sequence <= before.sequence || clock.Since(before.since) <= LateCallTimeout {
 		return true
 	}
 	a.Log.Warn().Stringer("lifetime", hb.Lifetime).Int64("sequence", hb.Sequence).Int64("newest", a.heartbeat.Sequence).
@@ -529,12 +529,7 @@
 	if !a.lease.lapsed(now, a.StopTimeout) {
 		return false
 	}
-	return a.shownSince == 0 || now > a.shownSince.Add(lateCallTimeout+a.longestLease()+a.StopTimeout+leaseSlack)
-}
-
-// longestLease returns how long the longest lease lasts on the worker's clock.
-func (a *Agent) longestLease() time.Duration {
-	return time.Duration(float64(a.MaxLease) / minClockRate)
+	return a.shownSince == 0 || now > a.shownSince.Add(LateCallTimeout+LongestLease(a.MaxLease)+a.StopTimeout+leaseSlack)
 }
 
 // handlePollError handles a poll of a lifetime that failed, and marks the worker as unreachable. The lifetime
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -895,6 +895,53 @@
 	})
 }
 
+// A start is called settled although an attempt of it was not answered, and takes effect in the worker's next lifetime.
+func TestStartWithoutAnswerIsNotSettled(t *testing.T) {
+	lost := func(ctx context.Context) error {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	refused := func(context.Context) error { return host.ErrRefused }
+	tests := []struct {
+		name     string
+		attempts []func(context.Context) error // The others reach the worker.
+		life     string
+		want     pb.Outcome
+		settled  bool
+	}{
+		{"answered", nil, "1", pb.Outcome_OUTCOME_STARTED, true},
+		{"answered at the second attempt", []func(context.Context) error{lost}, "1", pb.Outcome_OUTCOME_STARTED, false},
+		{"not answered", []func(context.Context) error{lost, lost}, "1", pb.Outcome_OUTCOME_UNKNOWN, false},
+		{"refused", []func(context.Context) error{refused}, "1", pb.Outcome_OUTCOME_ABSENT, true},
+		{"refused at the second attempt", []func(context.Context) error{lost, refused}, "1", pb.Outcome_OUTCOME_UNKNOWN, false},
+		{"not sent by this process", nil, "0", pb.Outcome_OUTCOME_REFUSED, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t)
+				start := f.agent.Worker.Start
+				f.agent.Worker.Start = func(ctx context.Context, s host.Start) error {
+					if len(tt.attempts) > 0 {
+						answer := tt.attempts[0]
+						tt.attempts = tt.attempts[1:]
+						return answer(ctx)
+					}
+					return start(ctx, s)
+				}
+				f.renewFor(3 * time.Second)
+				got := f.order(&pb.OrderRequest{
+					Agent: "a", AgentLife: tt.life, Report: f.lastReport.GetReport(), Grant: durationpb.New(lease),
+					Starts: []*pb.StartTask{{Task: "j.0.0.0", Run: 1}},
+				})[0]
+				if got.GetOutcome() != tt.want || got.GetSettled() != tt.settled {
+					t.Errorf("start: %v, want %v, settled: %v", got, tt.want, tt.settled)
+				}
+			})
+		})
+	}
+}
+
 // A worker restarts under its id while a start is on its way, and the start is not answered. The repeat would be
 // taken by the new lifetime, with a lease end on the clock of the one before.
 func TestStartIsNotRepeatedInNextLifetime(t *testing.T) {
--- a/internal/host/lease.go
+++ b/internal/host/lease.go
@@ -17,6 +17,9 @@
 	leaseSlack = 300 * time.Millisecond
 )
 
+// LongestLease returns how long a lease of d on a worker's clock may last.
+func LongestLease(d time.Duration) time.Duration { return time.Duration(float64(d) / minClockRate) }
+
 // lease tracks how far the worker's lease may be and was extended. All times are on the agent's
 // clock unless the worker's is named.
 type lease struct {
--- a/internal/host/orders.go
+++ b/internal/host/orders.go
@@ -18,6 +18,8 @@
 	// maxStartAttempts is how often a start that is not answered is sent. The run number makes
 	// repeats harmless.
 	maxStartAttempts = 2
+	// LateStartTimeout bounds how long after its order has lapsed a worker carries out a start.
+	LateStartTimeout = startTimeout + LateCallTimeout
 	// stopTimeout bounds one stop call to the worker.
 	stopTimeout = 350 * time.Millisecond
 	// barTimeout bounds the calls that bar a run whose start was refused. An order may have
@@ -50,7 +52,7 @@
 		switch {
 		case err == nil:
 			a.recordStart(o.GetTask(), int(o.GetRun()))
-			result.Outcome = pb.Outcome_OUTCOME_STARTED
+			result.Outcome, result.Settled = pb.Outcome_OUTCOME_STARTED, !maybeStarted
 			return result
 		case errors.Is(err, ErrRefused), errors.Is(err, ErrOtherLifetime), errors.Is(err, ErrUnhealthy), errors.Is(err, ErrFenced):
 			if !maybeStarted {
@@ -72,7 +74,7 @@
 	ctx, cancel := context.WithTimeout(ctx, barTimeout)
 	defer cancel()
 	result := a.stopTasks(ctx, m.GetLifetime(), m.GetEpoch(), []*pb.StopTask{{Task: o.GetTask(), Run: o.GetRun()}})[0]
-	result.Detail = refusal.Error()
+	result.Detail, result.Settled = refusal.Error(), true
 	switch {
 	case result.GetOutcome() == pb.Outcome_OUTCOME_ABSENT:
 	case m.GetAgent() == "": // A planner of an earlier version takes a refused run as over.
