dispatch: an absence doesn't count while the start may take effect in the next lifetime

Callers saw a task run twice: a start was late, its run was absent after a stop, the task started elsewhere, and the worker restarted under its id, which forgets the stop, and carried out the start.

While a start without an answer may take effect (5 s after its last attempt), an absence ends nothing; it counts for a stop that was sent after that. Starts that were refused or not sent are answered, and cost nothing.

--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -396,6 +396,11 @@
 			if m.laterLifetime != "" && m.laterLifetime != lifetime {
 				continue // A start can still take effect in the later one.
 			}
+			if !result.GetSettled() && m.lateUntil > 0 && m.lastStopAt <= m.lateUntil {
+				// The worker may restart, and then no longer knows of the stop.
+				ap.requestUnitStop(m.job, m.key)
+				continue
+			}
 			if !result.GetEndsSeen() {
 				m.worker.unprovenAbsences = append(m.worker.unprovenAbsences, absence{m, clock.Now()})
 				continue
