dispatch: a worker that hasn't answered a start gets no new tasks for 2 s

Each task whose start isn't answered waits some 5 s, and a worker that answers the planner's agent but no starts got one after the other: 50 of 50 tasks without accelerators in 5 s, now 14 (TestWorkerThatAnswersNoStartsGetsFew, which failed before).

Run: go test ./internal/dispatch: ok.

--- a/internal/dispatch/wait_test.go
+++ b/internal/dispatch/wait_test.go
@@ -1,8 +1,12 @@
 package dispatch_test
 
 import (
+	"fmt"
+	"sync"
 	"testing"
 	"time"
+
+	"sniperill.example/sniperill/internal/host"
 )
 
 // Only a task whose start may still take effect waits longer than the lease of its lost worker.
@@ -56,3 +60,27 @@
 		})
 	}
 }
+
+// Each task whose start isn't answered waits for 5 s, so a worker that answers none must not get one after the other.
+func TestWorkerThatAnswersNoStartsGetsFew(t *testing.T) {
+	withVirtualTime(t, func(t *testing.T) {
+		c := newCluster(t, 3, 3)
+		time.Sleep(3300 * time.Millisecond)
+		a := c.agents[0]
+		a.loseStarts.Store(true)
+		var lost sync.Map // Tasks.
+		a.beforeStart = func(s host.Start) { lost.Store(s.Task, true) }
+		for i := range 50 {
+			c.submit(fmt.Sprint("job", i), "red", "batch", task(0.8, 0))
+			time.Sleep(100 * time.Millisecond)
+		}
+		n := 0
+		lost.Range(func(any, any) bool {
+			n++
+			return true
+		})
+		if n > 15 {
+			t.Errorf("the worker got starts of %d tasks in 5 s, want at most 15", n)
+		}
+	})
+}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -413,11 +413,16 @@
 			ap.runEnded(m, 0, "", why)
 		case pb.Outcome_OUTCOME_UNKNOWN:
 			if m.status == starting {
+				m.worker.pausedUntil = max(m.worker.pausedUntil, clock.Now().Add(unansweredPause))
 				ap.requestUnitStop(m.job, m.key)
 			}
 		}
 	}
 }
 
-// refusedPause is how long a worker that refused a start gets no new tasks.
-const refusedPause = 300 * time.Millisecond
+const (
+	// refusedPause is how long a worker that refused a start gets no new tasks.
+	refusedPause = 300 * time.Millisecond
+	// unansweredPause is how long one that didn't answer a start gets none.
+	unansweredPause = 2 * time.Second
+)
