dispatch: a task doesn't wait for a dead next lifetime of its worker

Callers saw a task stay running for good: its worker restarted under its id, the stop of the run in the next lifetime was refused, that lifetime ended for good, and the agent restarted. notRenewed left the run to its stop there before it asked whether anything was in contact with the worker.

--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -381,6 +381,24 @@
 	late map[string]chan struct{}
 	// lateAnswers has the same for its handling of answers to stops.
 	lateAnswers map[string]chan struct{}
+	orderDelay  time.Duration // How long orders with starts take to their agents.
+}
+
+// delayOrders makes orders with starts take d to their agents.
+func (t *agentTable) delayOrders(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.orderDelay = d
+}
+
+// delayOf returns how long an order takes to its agent.
+func (t *agentTable) delayOf(r *pb.OrderRequest) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(r.GetStarts()) == 0 {
+		return 0
+	}
+	return t.orderDelay
 }
 
 // delayReports makes the planner handle reports from an address only once the channel is closed.
@@ -557,6 +575,9 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
+	if err := clock.Pause(ctx, c.table.delayOf(r.Msg)); err != nil {
+		return nil, err
+	}
 	a, err := c.table.get(ctx, c.address)
 	if err != nil {
 		return nil, err
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -188,10 +188,10 @@
 	switch {
 	case w.receivedAt == 0, w.lifetime == m.lifetime && w.answered:
 		return false
-	case m.laterLifetime != "" && m.laterLifetime == w.lifetime:
-		return false
 	case !w.inContact():
 		return clock.Now() > ap.leaseEnd(w.contactAt)
+	case m.laterLifetime != "" && m.laterLifetime == w.lifetime:
+		return false
 	}
 	return w.askedAt > ap.leaseEnd(w.lifetimeSince)
 }
