dispatch: an order for starts may take as long as its call

Found by review. TestTaskStartsThoughOrdersTakeLong and TestLargeGangStartsOnSlowWorker failed before, and pass.

--- a/internal/dispatch/latewait_test.go
+++ b/internal/dispatch/latewait_test.go
@@ -8,6 +8,28 @@
 	"sniperill.example/sniperill/pkg/shop"
 )
 
+// Orders with starts take long, as they are larger than other calls.
+func TestTaskStartsThoughOrdersTakeLong(t *testing.T) {
+	for _, delay := range []time.Duration{time.Second, 1400 * time.Millisecond, 1600 * time.Millisecond, 2 * time.Second} {
+		t.Run(delay.String(), func(t *testing.T) {
+			withVirtualTime(t, func(t *testing.T) {
+				c := newCluster(t, 2, 2)
+				checker := c.watchRuns()
+				for _, e := range c.entries {
+					e.agents.delayOrders(delay)
+				}
+				time.Sleep(3 * time.Second)
+				c.submit("a", "red", "batch", task(5, 8))
+				time.Sleep(20 * time.Second)
+				if n := c.runs.count("a.0.0.0"); n != 1 {
+					t.Errorf("%d starts within 20 s, want 1", n)
+				}
+				c.reportViolations(checker)
+			})
+		})
+	}
+}
+
 // A worker has restarted under its id, and ends for good before a stop of the run of the lifetime before reached it.
 // Its agent restarts, and knows only its last heartbeat.
 func TestTaskOfDeadNextLifetimeRunsElsewhere(t *testing.T) {
@@ -33,3 +55,20 @@
 		c.reportViolations(checker)
 	})
 }
+
+// A worker takes 0.3 s for each start, and an agent makes eight calls at a time.
+func TestLargeGangStartsOnSlowWorker(t *testing.T) {
+	withVirtualTime(t, func(t *testing.T) {
+		c := newCluster(t, 2, 1)
+		checker := c.watchRuns()
+		time.Sleep(3 * time.Second)
+		a := c.agents[0]
+		a.beforeStart = func(host.Start) { time.Sleep(300 * time.Millisecond) }
+		c.submit("a", "red", "batch", gang(small(120, 60), 60))
+		time.Sleep(20 * time.Second)
+		if n := len(a.machine.Executor().Running()); n != 60 {
+			t.Errorf("%d of 60 tasks of the gang run after 20 s", n)
+		}
+		c.reportViolations(checker)
+	})
+}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -32,7 +32,7 @@
 	// maxReportAge is the age of its newest report at which a worker stops getting new tasks.
 	maxReportAge = 2500 * time.Millisecond
 	// startWindow bounds how long after it was sent an agent carries out an order for starts.
-	startWindow = 1500 * time.Millisecond
+	startWindow = orderTimeout
 	// leaseSlack is added to a lease's end, for the runs under it to stop.
 	leaseSlack = 300 * time.Millisecond
 	// ackTimeout is the time, as far as an agent reports, within which it has passed on to its worker up to
