dispatch: a start counts as late until the worker lists its run

And a renewal that reached the next lifetime 1.5 s late outlasted that wait: a task ran twice for a second, at all 10 offsets.

Found by review. TestTaskOfLeftWorkerDoesNotWaitForLateStart and TestStartInNextLifetimeOutlastsLateRenewal failed before, and pass.

--- a/internal/dispatch/latewait_test.go
+++ b/internal/dispatch/latewait_test.go
@@ -8,6 +8,38 @@
 	"sniperill.example/sniperill/pkg/shop"
 )
 
+// A worker whose task has long been in its reports leaves; nothing listens at its address.
+func TestTaskOfLeftWorkerDoesNotWaitForLateStart(t *testing.T) {
+	for _, ran := range []time.Duration{time.Second, 3 * time.Second, 5 * time.Second, 8 * time.Second} {
+		t.Run(ran.String(), func(t *testing.T) {
+			withVirtualTime(t, func(t *testing.T) {
+				c := newCluster(t, 2, 2)
+				checker := c.watchRuns()
+				time.Sleep(3 * time.Second)
+				c.submit("a", "red", "batch", task(20, 8))
+				time.Sleep(ran)
+				a := c.agents[0]
+				a.mute.Store(true)
+				leaving := a.machine.Executor().Heartbeat("s", "r1-0", 100)
+				leaving.Draining = true
+				if err := a.process.Heartbeat(c.ctx, leaving); err != nil {
+					t.Fatal(err)
+				}
+				a.process.Leave(leaving.Lifetime.ID)
+				a.machine.Executor().Crash()
+				left := time.Now()
+				for c.runs.count("a.0.0.0") == 1 && time.Since(left) < time.Minute {
+					time.Sleep(5 * time.Millisecond)
+				}
+				if waited := time.Since(left); waited > time.Second {
+					t.Errorf("the task started again %v after its worker left, want at most 1s", waited)
+				}
+				c.reportViolations(checker)
+			})
+		})
+	}
+}
+
 // Orders with starts take long, as they are larger than other calls.
 func TestTaskStartsThoughOrdersTakeLong(t *testing.T) {
 	for _, delay := range []time.Duration{time.Second, 1400 * time.Millisecond, 1600 * time.Millisecond, 2 * time.Second} {
@@ -30,6 +62,45 @@
 	}
 }
 
+// A worker restarts under its id, and its next lifetime gets a start at once and a renewal a second late.
+func TestStartInNextLifetimeOutlastsLateRenewal(t *testing.T) {
+	for offset := time.Duration(0); offset < time.Second; offset += 100 * time.Millisecond {
+		t.Run(offset.String(), func(t *testing.T) {
+			withVirtualTime(t, func(t *testing.T) {
+				c := newCluster(t, 2, 2)
+				checker := c.watchRuns()
+				time.Sleep(3*time.Second + offset)
+				a := c.agents[0]
+				a.mute.Store(true)
+				a.beforeStart = func(s host.Start) {
+					a.beforeStart = nil
+					next := c.restartWorker(a, 2, checker)
+					// The poll that followed the last answer is on its way on a new connection.
+					time.AfterFunc(1500*time.Millisecond, func() {
+						next.Silence(false)
+						_, _ = next.Worker().Poll(c.ctx, host.PollRequest{
+							Lifetime: next.Lifetime.String(), Epoch: s.Epoch, LeaseEnd: time.Hour,
+						})
+						next.Silence(true)
+					})
+				}
+				answer := func(err error) error {
+					a.machine.Executor().Silence(true)
+					return err
+				}
+				a.answerStart.Store(&answer)
+				c.submit("a", "red", "batch", task(20, 8))
+				time.Sleep(20 * time.Second)
+				a.answerStart.Store(nil)
+				a.mute.Store(false)
+				a.machine.Executor().Silence(false)
+				c.await(60*time.Second, shop.Done, "a")
+				c.reportViolations(checker)
+			})
+		})
+	}
+}
+
 // A worker has restarted under its id, and ends for good before a stop of the run of the lifetime before reached it.
 // Its agent restarts, and knows only its last heartbeat.
 func TestTaskOfDeadNextLifetimeRunsElsewhere(t *testing.T) {
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -39,6 +39,7 @@
 	status        status
 	orderInFlight bool          // A start or stop was sent and has not been answered.
 	lateUntil     clock.Instant // Until then its start may take effect; zero if an earlier planner sent it.
+	settled       bool          // Its start was answered, and no attempt of it is on its way.
 	lastStopAt    clock.Instant // When the newest stop was sent.
 	// ackedEndAtStop is up to which number the worker had forgotten its ended runs by then, at least.
 	ackedEndAtStop uint64
@@ -67,7 +68,7 @@
 
 // mayRunIn reports whether the member may be running in a lifetime of its worker.
 func (m *member) mayRunIn(lifetime string) bool {
-	return m.lifetime == lifetime || m.laterLifetime == lifetime
+	return lifetime != "" && (m.lifetime == lifetime || m.laterLifetime == lifetime)
 }
 
 // doneIn reports whether an end of the member's run in a lifetime shows that its task is done. It does in any
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -113,6 +113,9 @@
 			m.status = running
 			ap.Log.Info().Str("task", m.task).Int("run", m.run).Str("node", w.name).Msg("Took over a running task.")
 		}
+		if m.settled && t.GetListed() && m.lifetime == w.lifetime {
+			m.lateUntil = 0
+		}
 		m.unchangedFor += observed
 		if int(t.GetPercent()) != m.percent {
 			m.percent, m.percentAt, m.unchangedFor = int(t.GetPercent()), clock.Now(), 0
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -370,10 +370,10 @@
 			continue // The run was known to have ended before the answer arrived.
 		}
 		result := results[i]
-		switch {
-		case result.GetSettled(): // It has taken effect by now, maybe in the worker's next lifetime.
-			m.lateUntil = min(m.lateUntil, clock.Now())
-		case m.status == starting && result.GetOutcome() == pb.Outcome_OUTCOME_UNKNOWN: // The agent has sent its last attempt.
+		if result.GetSettled() || m.status == starting && result.GetOutcome() == pb.Outcome_OUTCOME_UNKNOWN {
+			// The agent sends no further attempt. The answer doesn't tell from which lifetime it came, and a renewal
+			// that is still on its way there would extend the lease.
+			m.settled = result.GetSettled()
 			m.lateUntil = min(m.lateUntil, clock.Now().Add(host.LateCallTimeout))
 		}
 		switch result.GetOutcome() {
--- a/internal/host/handler.go
+++ b/internal/host/handler.go
@@ -133,11 +133,14 @@
 	if a.heartbeat.Draining {
 		out.Worker.DrainLeft = durationpb.New(max(0, a.drainUntil.Sub(now)))
 	}
-	for _, r := range a.currentRuns() {
+	for _, r := range a.running {
 		out.Running = append(out.Running, &pb.RunningTask{
-			Task: r.Task, Run: int64(r.Run), Checkpoint: r.Checkpoint, Percent: int64(r.Percent),
+			Task: r.Task, Run: int64(r.Run), Checkpoint: r.Checkpoint, Percent: int64(r.Percent), Listed: true,
 		})
 	}
+	for _, r := range a.unlistedRuns() {
+		out.Running = append(out.Running, &pb.RunningTask{Task: r.task, Run: int64(r.run)})
+	}
 	for _, e := range a.ended {
 		out.Ended = append(out.Ended, &pb.EndedTask{
 			Number: e.Number, Task: e.Task, Run: int64(e.Run), End: pb.End(e.End), Checkpoint: e.Checkpoint,
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -472,15 +472,14 @@
 	a.recentStarts[task] = startedRun{run, clock.Now()}
 }
 
-// currentRuns returns the running tasks of the newest poll and those started since. The caller
-// holds the lock.
-func (a *Agent) currentRuns() []Running {
-	out := slices.Clone(a.running)
+// unlistedRuns returns the runs that were started since the newest poll. The caller holds the lock.
+func (a *Agent) unlistedRuns() []taskRun {
+	var out []taskRun
 	for task, s := range a.recentStarts {
 		same := func(r Running) bool { return r.Task == task && r.Run == s.run }
 		gone := func(e Ended) bool { return e.Task == task && e.Run == s.run }
-		if !slices.ContainsFunc(out, same) && !slices.ContainsFunc(a.ended, gone) {
-			out = append(out, Running{Task: task, Run: s.run})
+		if !slices.ContainsFunc(a.running, same) && !slices.ContainsFunc(a.ended, gone) {
+			out = append(out, taskRun{task, s.run})
 		}
 	}
 	return out
