dispatch: a job that a slow store took long to write keeps most of its age

The mend for clocks that jump took a submission before the last read as now, so that a job whose append took longer than that seemed new. It counts from that read now, which is as good for clocks that are behind.

--- a/internal/dispatch/clock_test.go
+++ b/internal/dispatch/clock_test.go
@@ -16,9 +16,9 @@
 	}{
 		{"right", now.Add(-time.Second), 2 * time.Second, time.Second},
 		{"clock ahead", now.Add(5 * time.Second), 2 * time.Second, 0},
-		{"clock behind", now.Add(-5 * time.Second), 2 * time.Second, 0},
+		{"clock behind, or a slow store", now.Add(-5 * time.Second), 2 * time.Second, 2 * time.Second},
 		{"a job from before this planner", now.Add(-time.Hour), 1<<63 - 1, time.Hour},
-		{"never", time.Time{}, 2 * time.Second, 0},
+		{"never", time.Time{}, 2 * time.Second, 2 * time.Second},
 	}
 	for _, tt := range tests {
 		got := submittedAt(tt.byEntry.Round(0), now, tt.maxAge) // As read from a record, which has no monotonic reading.
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -57,13 +57,9 @@
 }
 
 // submittedAt returns when a job was submitted, given that time by the clock of an entry. Both clocks' times of
-// day may jump, so a time that can't be right is taken as now, and the result has a monotonic reading.
+// day may jump, so a time that can't be right is moved to the nearest that can, and the result has a monotonic reading.
 func submittedAt(byEntry, now time.Time, maxAge time.Duration) time.Time {
-	age := now.Sub(byEntry)
-	if age < 0 || age > maxAge {
-		age = 0
-	}
-	return now.Add(-age)
+	return now.Add(-min(max(0, now.Sub(byEntry)), maxAge))
 }
 
 // due returns when an occurrence is due.
