--- a/internal/dispatch/latestart_test.go
+++ b/internal/dispatch/latestart_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,29 +22,33 @@
 				c := newCluster(t, 2, 3)
 				checker := c.watchRuns()
 				a := c.agents[0]
+				var atNextStart atomic.Pointer[func(host.Start)]
+				a.beforeStart = func(s host.Start) {
+					if f := atNextStart.Swap(nil); f != nil {
+						(*f)(s)
+					}
+				}
 				time.Sleep(3*time.Second + upTo(2*time.Second))
 				var jobs []string
 				for i := range 6 {
 					late, restart, silent := upTo(4500*time.Millisecond), upTo(4*time.Second), upTo(14*time.Second)
 					cutOff := random.IntN(2) == 0
 					a.mute.Store(random.IntN(2) == 0)
-					var once sync.Once
-					a.beforeStart = func(s host.Start) {
-						once.Do(func() {
-							a.loseStarts.Store(true)
-							time.AfterFunc(2*time.Second, func() { a.loseStarts.Store(false) })
-							time.AfterFunc(late, func() { _ = a.machine.Worker().Start(c.ctx, s) }) // A worker may refuse it.
-							time.AfterFunc(restart, func() {
-								next := c.restartWorker(a, time.Now().UnixMilli(), checker)
-								next.Silence(true)
-								c.connect(a, !cutOff)
-								time.Sleep(silent)
-								next.Silence(false)
-								c.connect(a, true)
-								a.mute.Store(false)
-							})
+					disrupt := func(s host.Start) {
+						a.loseStarts.Store(true)
+						time.AfterFunc(2*time.Second, func() { a.loseStarts.Store(false) })
+						time.AfterFunc(late, func() { _ = a.machine.Worker().Start(c.ctx, s) }) // A worker may refuse it.
+						time.AfterFunc(restart, func() {
+							next := c.restartWorker(a, time.Now().UnixMilli(), checker)
+							next.Silence(true)
+							c.connect(a, !cutOff)
+							time.Sleep(silent)
+							next.Silence(false)
+							c.connect(a, true)
+							a.mute.Store(false)
 						})
 					}
+					atNextStart.Store(&disrupt)
 					id := fmt.Sprint("job", i)
 					jobs = append(jobs, id)
 					c.submit(id, "red", "batch", task(5+10*random.Float64(), 4+random.IntN(5)))
