dispatch: a task whose start was refused waits for its stop only

The refusal answers the only attempt, so nothing is on its way.

TestTaskOfRefusedStartWaitsForItsStopOnly failed before (no start within 3 s), and passes.

--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -138,6 +138,8 @@
 	answerStart atomic.Pointer[func(error) error]
 	// refuseStop, if set, returns an error for a stop that doesn't reach the worker.
 	refuseStop atomic.Pointer[func() error]
+	// refuseStart does the same for a start.
+	refuseStart atomic.Pointer[func() error]
 	// loseStarts makes starts be lost on their way to the worker.
 	loseStarts atomic.Bool
 	thawed     atomic.Pointer[chan struct{}] // Closed when polls of a frozen agent make progress again.
@@ -194,6 +196,11 @@
 		if a.beforeStart != nil {
 			a.beforeStart(s)
 		}
+		if refuse := a.refuseStart.Load(); refuse != nil {
+			if err := (*refuse)(); err != nil {
+				return err
+			}
+		}
 		if a.loseStarts.Load() {
 			<-ctx.Done()
 			return ctx.Err()
--- a/internal/dispatch/refused_test.go
+++ b/internal/dispatch/refused_test.go
@@ -88,3 +88,29 @@
 		})
 	}
 }
+
+// A worker refuses a start and for a second its stop, too. No attempt of the start is on its way, so the task waits for
+// the stop alone.
+func TestTaskOfRefusedStartWaitsForItsStopOnly(t *testing.T) {
+	withVirtualTime(t, func(t *testing.T) {
+		c := newCluster(t, 2, 2)
+		checker := c.watchRuns()
+		time.Sleep(3300 * time.Millisecond)
+		a := c.agents[0]
+		began := time.Now()
+		refuse := func() error {
+			if time.Since(began) < time.Second {
+				return host.ErrUnhealthy
+			}
+			return nil
+		}
+		a.refuseStart.Store(&refuse)
+		a.refuseStop.Store(&refuse)
+		c.submit("a", "red", "batch", task(60, 8))
+		time.Sleep(3 * time.Second)
+		if n := c.runs.count("a.0.0.0"); n != 1 {
+			t.Errorf("%d starts within 3 s, want 1", n)
+		}
+		c.reportViolations(checker)
+	})
+}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -396,7 +396,7 @@
 			if m.laterLifetime != "" && m.laterLifetime != lifetime {
 				continue // A start can still take effect in the later one.
 			}
-			if !result.GetSettled() && m.lateUntil > 0 && m.lastStopAt <= m.lateUntil {
+			if !m.settled && m.lateUntil > 0 && m.lastStopAt <= m.lateUntil {
 				// The worker may restart, and then no longer knows of the stop.
 				ap.requestUnitStop(m.job, m.key)
 				continue
