host: a report tells the worker's machine and how long it is cold

Cause: workers announce the machine that they are a life of, and how much longer they are slow after a start; neither reached the planner. Change: fields of the reports, of the plan's workers and of the planner's calls. Nothing uses them yet.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -128,6 +128,7 @@
 			Worker:      w.hardware,
 			Schedulable: !w.draining && !w.unreachable && now.Sub(w.receivedAt) < maxReportAge,
 			Paused:      now < w.pausedUntil,
+			Cold:        max(0, w.coldUntil.Sub(now)),
 		})
 	}
 	return indices
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -40,6 +40,7 @@
 			MilliCores: int(h.GetMilliCores()), MemoryMB: int(h.GetMemoryMb()), Accelerators: int(h.GetAccelerators()),
 		},
 	}
+	w.machine, w.coldUntil = h.GetMachine(), now.Add(h.GetColdLeft().AsDuration())
 	w.draining = h.GetDraining()
 	w.drainUntil = now.Add(h.GetDrainLeft().AsDuration())
 	if w.lifetime == "" || !m.GetLooked() {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -74,6 +74,8 @@
 	askedAt          clock.Instant // When the newest report was asked for.
 	hardware         workflow.Worker
 	zone             string
+	machine          string        // Identifies the machine across lifetimes.
+	coldUntil        clock.Instant // The worker is slow until then.
 	draining         bool
 	drainUntil       clock.Instant // A draining worker stays at least until then.
 	unreachable      bool          // The worker doesn't answer its agent.
--- a/internal/host/handler.go
+++ b/internal/host/handler.go
@@ -121,7 +121,7 @@
 			Lifetime: a.lifetime.String(), Service: a.heartbeat.Service, Rack: a.heartbeat.Rack, Zone: a.heartbeat.Zone,
 			Labels: a.heartbeat.Labels, MilliCores: int64(a.heartbeat.Resources.MilliCores),
 			MemoryMb: int64(a.heartbeat.Resources.MemoryMB), Accelerators: int64(a.heartbeat.Resources.Accelerators),
-			Draining: a.heartbeat.Draining,
+			Draining: a.heartbeat.Draining, Machine: a.heartbeat.Machine,
 		},
 	}
 	for _, l := range a.endedLifetimes {
@@ -133,6 +133,9 @@
 	if a.heartbeat.Draining {
 		out.Worker.DrainLeft = durationpb.New(max(0, a.drainUntil.Sub(now)))
 	}
+	if left := a.coldUntil.Sub(now); left > 0 {
+		out.Worker.ColdLeft = durationpb.New(left)
+	}
 	for _, r := range a.running {
 		out.Running = append(out.Running, &pb.RunningTask{
 			Task: r.Task, Run: int64(r.Run), Checkpoint: r.Checkpoint, Percent: int64(r.Percent), Listed: true,
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -67,7 +67,8 @@
 	ignored     ignoredHeartbeat
 	lifetime    Lifetime
 	drainUntil  clock.Instant
-	leaving     bool // The worker has announced that it shuts down.
+	coldUntil   clock.Instant // The worker is slow until then.
+	leaving     bool          // The worker has announced that it shuts down.
 	unreachable bool
 	// shownSince is when the worker first showed another lifetime, with the same id, than it had announced; zero
 	// if it doesn't.
@@ -166,6 +167,7 @@
 	if hb.Draining {
 		a.drainUntil = clock.Now().Add(hb.DrainRemaining)
 	}
+	a.coldUntil = clock.Now().Add(hb.ColdRemaining)
 	hb.Draining = hb.Draining || same && a.heartbeat.Draining
 	if a.WorkerChanged != nil && !reflect.DeepEqual(hb.Worker, a.heartbeat.Worker) {
 		a.WorkerChanged(hb.Worker)
--- a/internal/host/worker.go
+++ b/internal/host/worker.go
@@ -118,6 +118,10 @@
 	Draining bool
 	// DrainRemaining is the least time for which a draining worker stays.
 	DrainRemaining time.Duration
+	// Machine identifies the worker's machine across lifetimes; empty if it isn't known.
+	Machine string
+	// ColdRemaining is how much longer the worker is slow after its start.
+	ColdRemaining time.Duration
 	// Sequence increases with each heartbeat of a lifetime.
 	Sequence int64
 }
--- a/internal/schedule/view.go
+++ b/internal/schedule/view.go
@@ -14,6 +14,19 @@
 	// Paused is set for a worker that is quarantined, or has just refused a task. It is used only for what
 	// no other worker could take.
 	Paused bool
+	// Pace is how long a task takes on the worker, relative to a worker of median speed. Zero means that it
+	// isn't known.
+	Pace float64
+	// Cold is how much longer the worker is slow after its start.
+	Cold time.Duration
+}
+
+// pace returns the worker's pace, or 1 if it isn't known.
+func (w *Worker) pace() float64 {
+	if w.Pace <= 0 {
+		return 1
+	}
+	return w.Pace
 }
 
 // open reports whether the worker takes any new tasks that fit.
