pace: learn how fast each worker is, and place work by it

Two thirds of a deployment's workers take 0.7 of the nominal time, one third 1.7 times: the members of a gang end together, at the slowest one's pace, and the plan took all workers as alike.

The planner learns each machine's pace from the progress and the ends of siblings. Urgent work starts on the fastest workers that fit, other work leaves these free.

--- a/internal/dispatch/active.go
+++ b/internal/dispatch/active.go
@@ -51,6 +51,7 @@
 	members       map[string]*member // By task.
 	unstored      []*member          // Claimed, but the store has rejected the records of their jobs.
 	lastHeartbeat clock.Instant      // When the newest heartbeat was written.
+	learner       learner
 
 	group errgroup.Group
 	ctx   context.Context // Of the calls to agents, also to those that register later.
@@ -67,6 +68,7 @@
 		},
 		changedJobs: make(map[string]bool), jobs: make(map[string]*job),
 		workers: make(map[string]*worker), members: make(map[string]*member),
+		learner: learner{runs: make(map[*member]*runProgress)},
 	}
 }
 
--- /dev/null
+++ b/internal/dispatch/learn.go
@@ -0,0 +1,143 @@
+package dispatch
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"strconv"
+	"time"
+
+	"sniperill.example/sniperill/internal/clock"
+	"sniperill.example/sniperill/internal/host"
+	"sniperill.example/sniperill/internal/pace"
+)
+
+const (
+	// learnInterval is the least time between two estimates of the workers' paces.
+	learnInterval = 200 * time.Millisecond
+	// minProgress is the progress, in percent, from which on it tells the run time, if the run's start is known.
+	minProgress = 4
+	// minProgressBetween is the same between two reports, each of which is in whole percents.
+	minProgressBetween = 10
+	// minProgressTime is the least time that it must have taken, as a start's answer may be late by some of it.
+	minProgressTime = 250 * time.Millisecond
+)
+
+// learner learns the paces of the workers from the progress and the ends of their runs.
+type learner struct {
+	paces    pace.Paces
+	runs     map[*member]*runProgress
+	readings []pace.Reading // Since the newest estimate.
+	fittedAt clock.Instant
+}
+
+// runProgress is the progress of a member from the first report on.
+type runProgress struct {
+	from        clock.Instant
+	fromPercent int
+	started     bool // The run's start is known: from.
+	percent     int
+	at          clock.Instant // When that was the percentage.
+	skewed      bool          // The worker was slow after its own start.
+}
+
+// machineName returns what tells the worker's machine from others in all its lifetimes.
+func (w *worker) machineName() string { return cmp.Or(w.machine, w.name) }
+
+// noteStarted notes that a worker has answered the start of a run.
+func (ap *activePlanner) noteStarted(m *member) {
+	if m.job.progress.Units[m.key].Checkpoint != "" {
+		return // It doesn't begin at zero percent.
+	}
+	now := clock.Now()
+	ap.learner.runs[m] = &runProgress{from: now, started: true, skewed: now < m.worker.coldUntil}
+}
+
+// noteProgress notes the percentage of a run at a time.
+func (ap *activePlanner) noteProgress(m *member, percent int, at clock.Instant) {
+	r := ap.learner.runs[m]
+	if r == nil {
+		r = &runProgress{from: at, fromPercent: percent, percent: percent, at: at, skewed: at < m.worker.coldUntil}
+		ap.learner.runs[m] = r
+		return
+	}
+	if percent <= r.percent || percent >= 100 || m.step().Endless {
+		return // A member that waits for its gang stays at 100.
+	}
+	r.percent, r.at = percent, at
+	from, gained, least := r.from, float64(percent-r.fromPercent), minProgressBetween
+	if r.started {
+		from, gained, least = ap.unitStart(m), gained+0.5, minProgress // The percentage is rounded down.
+	}
+	if took := at.Sub(from); from > 0 && gained >= float64(least) && took >= minProgressTime {
+		ap.addReading(m, time.Duration(float64(took)*100/gained), at)
+	}
+}
+
+// noteEnd notes that a run has ended.
+func (ap *activePlanner) noteEnd(m *member, end host.End) {
+	r := ap.learner.runs[m]
+	delete(ap.learner.runs, m)
+	if r == nil || !r.started || end != host.Done || m.key.IsGang() || m.step().Endless {
+		return // The members of a gang end together.
+	}
+	now := clock.Now()
+	ap.addReading(m, now.Sub(r.from), now)
+}
+
+// unitStart returns when the tasks of a member's unit began: those of a gang once all of them are present. It
+// returns zero if it isn't known.
+func (ap *activePlanner) unitStart(m *member) clock.Instant {
+	start := ap.learner.runs[m].from
+	if !m.key.IsGang() {
+		return start
+	}
+	for _, other := range m.job.progress.Units[m.key].Members {
+		live := ap.member(m.job, m.key, other.Index)
+		r := ap.learner.runs[live]
+		if r == nil || !r.started {
+			return 0
+		}
+		start = max(start, r.from)
+	}
+	return start
+}
+
+// addReading adds a reading of a run's time.
+func (ap *activePlanner) addReading(m *member, took time.Duration, at clock.Instant) {
+	step := m.step()
+	if step.DataRack != "" && m.worker.hardware.Rack != step.DataRack {
+		took = time.Duration(float64(took) / max(1, ap.RemoteFactor))
+	}
+	if r := ap.learner.runs[m]; r != nil && r.skewed {
+		return
+	}
+	ap.learner.readings = append(ap.learner.readings, pace.Reading{
+		Group: groupName(m), Run: m.task + "/" + strconv.Itoa(m.run), Machine: m.worker.machineName(), RunTime: took, At: at,
+	})
+}
+
+// groupName names the step of a member, whose tasks have about the same work.
+func groupName(m *member) string {
+	return m.job.spec.ID + "." + strconv.Itoa(m.key.Occurrence) + "." + strconv.Itoa(m.key.Step)
+}
+
+// learn updates the paces of the workers by the newest readings.
+func (ap *activePlanner) learn(now clock.Instant) {
+	l := &ap.learner
+	if len(l.readings) == 0 || now.Sub(l.fittedAt) < learnInterval {
+		return
+	}
+	maps.DeleteFunc(l.runs, func(m *member, _ *runProgress) bool { return ap.members[m.task] != m })
+	l.paces = l.paces.With(now, l.readings...)
+	l.readings, l.fittedAt = nil, now
+}
+
+// slowestPace returns the pace of the slowest of the workers that a run was placed on.
+func (ap *activePlanner) slowestPace(idx *viewIndex, workers []int) float64 {
+	slowest := 0.0
+	for _, i := range workers {
+		slowest = max(slowest, cmp.Or(ap.learner.paces.Of(idx.workers[i].machineName()), 1))
+	}
+	return math.Round(100*slowest) / 100
+}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -95,7 +95,7 @@
 	ap.Log.Info().Str("job", w.job.spec.ID).Int("occurrence", w.key.Occurrence).Int("step", w.key.Step).
 		Int("index", w.key.Index).Int("run", u.Run).Int("members", len(members)).Str("node", u.Members[0].AgentName).
 		Int64("epoch", ap.epoch).Uint64("report", idx.workers[workers[0]].reportNumber).
-		Dur("waited", waited).Msg("Claimed a run.")
+		Float64("pace", ap.slowestPace(idx, workers)).Dur("waited", waited).Msg("Claimed a run.")
 	return members
 }
 
@@ -117,6 +117,7 @@
 
 func (ap *activePlanner) appendWorkers(v *schedule.View, idx *viewIndex) map[*worker]int {
 	now := clock.Now()
+	ap.learn(now)
 	indices := make(map[*worker]int)
 	for _, w := range ap.sortedWorkers() {
 		if w.lifetime == "" {
@@ -128,6 +129,7 @@
 			Worker:      w.hardware,
 			Schedulable: !w.draining && !w.unreachable && now.Sub(w.receivedAt) < maxReportAge,
 			Paused:      now < w.pausedUntil,
+			Pace:        ap.learner.paces.Of(w.machineName()),
 			Cold:        max(0, w.coldUntil.Sub(now)),
 		})
 	}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -54,7 +54,7 @@
 			m.stopInCurrentLifetime() // Before the report's ends are applied: they may have its run.
 		}
 	}
-	ap.applyRunning(w, m.GetRunning(), observed)
+	ap.applyRunning(w, m.GetRunning(), observed, now.Add(-m.GetLookedAgo().AsDuration()))
 	before := w.appliedEnds.number
 	for _, e := range m.GetEnded() {
 		ap.applyEnd(w, e)
@@ -102,8 +102,8 @@
 const maxReportInterval = watchWait + watchRetryDelay
 
 // applyRunning applies the list of running tasks of a report, given the time for which it tells
-// whether they made progress.
-func (ap *activePlanner) applyRunning(w *worker, tasks []*pb.RunningTask, observed time.Duration) {
+// whether they made progress, and when the worker gave the list.
+func (ap *activePlanner) applyRunning(w *worker, tasks []*pb.RunningTask, observed time.Duration, listedAt clock.Instant) {
 	for _, t := range tasks {
 		m, ok := ap.members[t.GetTask()]
 		if !ok || m.run != int(t.GetRun()) || m.worker != w || !m.mayRunIn(w.lifetime) {
@@ -121,6 +121,9 @@
 		if int(t.GetPercent()) != m.percent {
 			m.percent, m.percentAt, m.unchangedFor = int(t.GetPercent()), clock.Now(), 0
 		}
+		if t.GetListed() {
+			ap.noteProgress(m, int(t.GetPercent()), listedAt)
+		}
 		if t.GetCheckpoint() != "" {
 			ap.saveCheckpoint(m, t.GetCheckpoint())
 		}
@@ -167,6 +170,7 @@
 	}
 	m.job.recordEnd(workerLifetime{w, w.lifetime}, e.GetNumber())
 	ap.updateHealth(w, m, end)
+	ap.noteEnd(m, end)
 	ap.runEnded(m, end, e.GetCheckpoint(), "listed")
 }
 
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -383,6 +383,7 @@
 			if m.status == starting {
 				m.status = running
 				m.unchangedFor = 0
+				ap.noteStarted(m)
 			}
 		case pb.Outcome_OUTCOME_REFUSED:
 			m.worker.pausedUntil = clock.Now().Add(refusedPause)
--- a/internal/host/handler.go
+++ b/internal/host/handler.go
@@ -124,6 +124,9 @@
 			Draining: a.heartbeat.Draining, Machine: a.heartbeat.Machine,
 		},
 	}
+	if a.listedAt != 0 {
+		out.LookedAgo = durationpb.New(now.Sub(a.listedAt))
+	}
 	for _, l := range a.endedLifetimes {
 		out.Over = append(out.Over, l.lifetime)
 		if l.gone {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -74,6 +74,7 @@
 	// if it doesn't.
 	shownSince    clock.Instant
 	polledAt      clock.Instant // When the poll that returned running was sent; zero before the first.
+	listedAt      clock.Instant // When it was answered.
 	running       []Running
 	recentStarts  map[string]startedRun // Runs that may be newer than that poll, by task.
 	ended         []Ended               // Run ends that the planner has not stored yet, sorted by number.
@@ -283,7 +284,7 @@
 
 // resetState drops what the worker reported in its last lifetime. The caller holds the lock.
 func (a *Agent) resetState() {
-	a.running, a.recentStarts, a.ended, a.moreEnded, a.lastStoredEnd, a.polledAt = nil, nil, nil, false, 0, 0
+	a.running, a.recentStarts, a.ended, a.moreEnded, a.lastStoredEnd, a.polledAt, a.listedAt = nil, nil, nil, false, 0, 0, 0
 	a.gone, a.endsSeenUntil, a.shownSince = nil, 0, 0
 	a.lease.reset()
 }
@@ -437,7 +438,7 @@
 		notable = true
 	}
 	if sent >= a.polledAt {
-		a.polledAt = sent
+		a.polledAt, a.listedAt = sent, clock.Now()
 		notable = notable || runsDiffer(a.running, state.Running)
 		a.running, a.moreEnded = state.Running, state.MoreEnded
 		// A poll that was sent after a start lists the run, or the run has ended.
--- /dev/null
+++ b/internal/pace/pace.go
@@ -0,0 +1,223 @@
+// Package pace learns how long a task takes on each machine, relative to a machine of median speed, from the tasks
+// that run or have run on several machines at about the same time.
+package pace
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"sniperill.example/sniperill/internal/clock"
+)
+
+// Reading is how long a run takes on a machine from its start to its end, as its progress or its end shows.
+type Reading struct {
+	// Group names tasks of about the same work: those of one step of a job.
+	Group string
+	// Run names the run. A newer reading of it replaces the older one.
+	Run     string
+	Machine string
+	RunTime time.Duration
+	At      clock.Instant
+}
+
+const (
+	// Window is the time for which a reading counts.
+	Window = 10 * time.Minute
+	// MaxGroups limits the groups whose readings are kept. The one without a new reading for longest is dropped first.
+	MaxGroups = 256
+	// maxPerMachine is the number of readings of a machine that count, the newest ones, so that a machine that was
+	// slow for a while isn't taken as slow for long.
+	maxPerMachine = 9
+	// maxKnownWeight is the number of readings that a pace which an earlier planner has learned counts for at most.
+	maxKnownWeight = 4
+	// noise is the standard deviation of the logarithm of the run time among siblings on one machine. By the
+	// users' pages, siblings differ by 15 %; a percentage and the time of its report add some percent.
+	noise = 0.2
+	// maxDeviation bounds what one machine adds to the spread of the paces. Some tasks take several times as
+	// long as their siblings, which says nothing about their machines.
+	maxDeviation = 0.7
+	// rounds is how often work and paces are estimated in turn. Changes are small after the third time.
+	rounds = 4
+)
+
+// Known is what is known of a machine.
+type Known struct {
+	// LogPace is the logarithm of its pace, as its readings alone tell.
+	LogPace float64
+	// Readings is how many of them tell it.
+	Readings int
+}
+
+// Paces holds what is known of the machines. It is never modified in place.
+type Paces struct {
+	groups map[string]group
+	stored map[string]Known // By an earlier planner.
+	known  map[string]Known
+	spread float64 // Variance of the logarithms of the machines' paces.
+}
+
+// group is the newest reading of each run of a group, the newest last.
+type group []Reading
+
+func (g group) newest() clock.Instant { return g[len(g)-1].At }
+
+// WithStored returns the paces with what an earlier planner has learned.
+func (p Paces) WithStored(stored map[string]Known) Paces {
+	p.stored = make(map[string]Known, len(stored))
+	for machine, k := range stored {
+		p.stored[machine] = Known{k.LogPace, min(k.Readings, maxKnownWeight)}
+	}
+	p.known = maps.Clone(p.stored)
+	p.spread = spread(p.known)
+	return p
+}
+
+// With returns the paces with the readings added.
+func (p Paces) With(now clock.Instant, readings ...Reading) Paces {
+	p.groups = maps.Clone(p.groups)
+	if p.groups == nil {
+		p.groups = make(map[string]group)
+	}
+	for _, r := range readings {
+		if r.RunTime <= 0 || r.Machine == "" {
+			continue
+		}
+		old := slices.DeleteFunc(slices.Clone(p.groups[r.Group]), func(o Reading) bool { return o.Run == r.Run })
+		p.groups[r.Group] = append(old, r)
+	}
+	maps.DeleteFunc(p.groups, func(_ string, g group) bool { return now.Sub(g.newest()) > Window })
+	if over := len(p.groups) - MaxGroups; over > 0 {
+		names := slices.SortedFunc(maps.Keys(p.groups), func(a, b string) int {
+			return cmp.Or(cmp.Compare(p.groups[a].newest(), p.groups[b].newest()), cmp.Compare(a, b))
+		})
+		for _, name := range names[:over] {
+			delete(p.groups, name)
+		}
+	}
+	p.fit()
+	return p
+}
+
+// fit estimates the work of each group from the paces of the machines, and these from that work, in turn. Medians
+// leave out tasks that take much longer than their siblings.
+func (p *Paces) fit() {
+	names := slices.Sorted(maps.Keys(p.groups))
+	names = slices.DeleteFunc(names, func(name string) bool { return !p.groups[name].compares() })
+	type deviation struct {
+		at    clock.Instant
+		value float64
+	}
+	known := maps.Clone(p.known)
+	if known == nil {
+		known = make(map[string]Known)
+	}
+	for range rounds {
+		byMachine := make(map[string][]deviation)
+		for _, name := range names {
+			g := p.groups[name]
+			work := g.logWork(known)
+			for _, r := range g {
+				byMachine[r.Machine] = append(byMachine[r.Machine], deviation{r.At, math.Log(r.RunTime.Seconds()) - work})
+			}
+		}
+		next := maps.Clone(p.stored)
+		if next == nil {
+			next = make(map[string]Known)
+		}
+		for machine, all := range byMachine {
+			slices.SortStableFunc(all, func(a, b deviation) int { return cmp.Compare(b.at, a.at) })
+			var values []float64
+			for _, d := range all[:min(maxPerMachine, len(all))] {
+				values = append(values, d.value)
+			}
+			for range min(p.stored[machine].Readings, maxPerMachine-len(values)) {
+				values = append(values, p.stored[machine].LogPace)
+			}
+			next[machine] = Known{lowerMedian(values), len(values)}
+		}
+		known = next
+	}
+	p.known = centred(known)
+	p.spread = spread(p.known)
+}
+
+// compares reports whether the group has readings of several machines.
+func (g group) compares() bool {
+	return slices.ContainsFunc(g, func(r Reading) bool { return r.Machine != g[0].Machine })
+}
+
+// logWork returns the logarithm of the run time of the group's tasks on a machine of median speed. Machines that
+// are known better count for more.
+func (g group) logWork(known map[string]Known) float64 {
+	var values []float64
+	for _, r := range g {
+		k := known[r.Machine]
+		for range 1 + min(k.Readings, maxKnownWeight) {
+			values = append(values, math.Log(r.RunTime.Seconds())-k.LogPace)
+		}
+	}
+	slices.Sort(values)
+	return (values[(len(values)-1)/2] + values[len(values)/2]) / 2
+}
+
+// lowerMedian returns the median, and of two the lower one: a task may take several times as long as its siblings,
+// but none is much shorter.
+func lowerMedian(values []float64) float64 {
+	values = slices.Sorted(slices.Values(values))
+	return values[(len(values)-1)/2]
+}
+
+// centred returns the paces relative to the median one.
+func centred(known map[string]Known) map[string]Known {
+	if len(known) == 0 {
+		return known
+	}
+	var values []float64
+	for _, k := range known {
+		values = append(values, k.LogPace)
+	}
+	median := lowerMedian(values)
+	for machine, k := range known {
+		known[machine] = Known{k.LogPace - median, k.Readings}
+	}
+	return known
+}
+
+// spread returns the variance of the logarithms of the machines' paces, less what the noise of the readings adds.
+func spread(known map[string]Known) float64 {
+	sum := 0.0
+	for _, k := range known {
+		d := min(math.Abs(k.LogPace), maxDeviation)
+		sum += d*d - noise*noise/float64(max(1, k.Readings))
+	}
+	return max(0, sum/float64(max(1, len(known))))
+}
+
+// Of returns how long a task takes on a machine, relative to a machine of median speed, or 0 if nothing is known. A
+// machine of which little is known is taken to be nearer to the median than its readings say, the more so the
+// more alike the machines are.
+func (p Paces) Of(machine string) float64 {
+	k, ok := p.known[machine]
+	if !ok || k.Readings == 0 {
+		return 0
+	}
+	if p.spread == 0 {
+		return 1
+	}
+	return math.Exp(k.LogPace * p.spread / (p.spread + noise*noise/float64(k.Readings)))
+}
+
+// Known returns what is known of each machine.
+func (p Paces) Known() map[string]Known { return maps.Clone(p.known) }
+
+// Work returns how long a task of a group takes on a machine of median speed, or 0 if it has no reading.
+func (p Paces) Work(name string) time.Duration {
+	g, ok := p.groups[name]
+	if !ok {
+		return 0
+	}
+	return time.Duration(math.Exp(g.logWork(p.known)) * float64(time.Second))
+}
--- /dev/null
+++ b/internal/schedule/pace.go
@@ -0,0 +1,101 @@
+package schedule
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// classWidth is the difference between the logarithms of the paces of two classes of workers. Paces within half
+// of it, 15 %, count as equal: siblings differ by as much on one worker.
+const classWidth = 0.3
+
+// paceClass returns the class of workers to which a pace belongs: 0 for the median, less for faster ones.
+func paceClass(pace float64) int { return int(math.Round(math.Log(pace) / classWidth)) }
+
+// initClasses divides the workers into classes by their paces.
+func (p *planner) initClasses() {
+	p.classes = make([]int, len(p.Workers))
+	for i := range p.Workers {
+		p.classes[i] = paceClass(p.Workers[i].pace())
+		p.uneven = p.uneven || p.classes[i] != p.classes[0]
+	}
+}
+
+// prefersFast reports whether a unit should run on the fast ones of the workers. Other work leaves these to urgent
+// work as long as slower workers end it in time.
+func (p *planner) prefersFast(w *WaitingUnit, workers []int) bool {
+	if w.Priority == 0 {
+		return true
+	}
+	slowest := 0.0
+	for _, i := range workers {
+		slowest = max(slowest, p.Workers[i].pace())
+	}
+	return p.meets(w, 1) && !p.meets(w, slowest)
+}
+
+// meets reports whether a unit that starts now ends by its objective, at a pace.
+func (p *planner) meets(w *WaitingUnit, pace float64) bool {
+	return !p.Now.Add(time.Duration(pace * float64(w.Estimate))).After(w.Objective)
+}
+
+// compareClasses orders workers by how well their classes suit a unit: urgent work takes the fastest, other work
+// leaves these free.
+func (p *planner) compareClasses(w *WaitingUnit, fast bool, a, b int) int {
+	switch {
+	case w.Step.Endless:
+		return 0
+	case fast:
+		return p.classes[a] - p.classes[b]
+	default:
+		return p.classes[b] - p.classes[a]
+	}
+}
+
+// ofOneClass returns those of the candidates on which a gang with time to spare wastes no fast workers: its members
+// end together, at the pace of the slowest. It returns all of them if no class has room for all members.
+func (p *planner) ofOneClass(w *WaitingUnit, candidates []int) []int {
+	if !p.uneven || w.Members == 1 || w.Step.Endless || w.Priority == 0 {
+		return candidates
+	}
+	room := make(map[int]int)
+	for _, i := range candidates {
+		room[p.classes[i]] += min(p.spreadAllowance(w, i), p.free[i].FitCount(w.Step.Demand(), w.Members))
+	}
+	slowest, found := 0, false
+	for class, n := range room {
+		if n >= w.Members && (!found || class > slowest) {
+			slowest, found = class, true
+		}
+	}
+	if !found {
+		return candidates
+	}
+	return slices.DeleteFunc(slices.Clone(candidates), func(i int) bool { return p.classes[i] != slowest })
+}
+
+// comparePlacements orders placements of a unit by how well the classes of their workers suit it.
+func (p *planner) comparePlacements(w *WaitingUnit, a, b []int) int {
+	slowA, wasteA := p.slowest(a)
+	slowB, wasteB := p.slowest(b)
+	if w.Priority == 0 {
+		return slowA - slowB
+	}
+	if wasteA != wasteB {
+		return wasteA - wasteB
+	}
+	return slowB - slowA
+}
+
+// slowest returns the slowest class of a placement, and by how many classes all other members together wait for it.
+func (p *planner) slowest(placement []int) (class, waste int) {
+	class = p.classes[placement[0]]
+	for _, i := range placement {
+		class = max(class, p.classes[i])
+	}
+	for _, i := range placement {
+		waste += class - p.classes[i]
+	}
+	return class, waste
+}
--- a/internal/schedule/place.go
+++ b/internal/schedule/place.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -51,14 +52,21 @@
 	return max(0, w.Step.MaxPerWorker-p.spreadCounts[w.SpreadGroup][worker])
 }
 
-// findPlacement returns a worker with free resources for each member, or nil if not all fit.
+// findPlacement returns a worker with free resources for each member, or nil if not all fit. Of several racks of
+// which one must hold all members, it takes the one whose workers suit the unit best.
 func (p *planner) findPlacement(w *WaitingUnit) []int {
+	var best []int
 	for _, group := range p.workerGroups(w) {
-		if placement := p.bestFit(w, group); placement != nil {
+		placement := p.bestFit(w, group)
+		switch {
+		case placement == nil:
+		case !p.uneven || w.Step.Endless || w.Step.DataRack != "":
 			return placement
+		case best == nil || p.comparePlacements(w, placement, best) < 0:
+			best = placement
 		}
 	}
-	return nil
+	return best
 }
 
 // workerGroups returns the groups of workers to try for a unit, the best first. A group is a rack
@@ -143,6 +151,8 @@
 	if total < w.Members {
 		return nil
 	}
+	candidates = p.ofOneClass(w, candidates)
+	fast := p.prefersFast(w, candidates)
 	slices.SortStableFunc(candidates, func(a, b int) int {
 		switch w.AvoidWorker {
 		case a:
@@ -150,7 +160,7 @@
 		case b:
 			return -1
 		}
-		return compareFree(p.free[a], p.free[b])
+		return cmp.Or(p.compareClasses(w, fast, a, b), compareFree(p.free[a], p.free[b]))
 	})
 	placement := make([]int, 0, w.Members)
 	for _, i := range candidates {
--- a/internal/schedule/plan.go
+++ b/internal/schedule/plan.go
@@ -62,6 +62,8 @@
 	kept         []workflow.Resources
 	keptFor      []time.Duration
 	spreadCounts []map[int]int // View.SpreadCounts plus the tasks that this plan places.
+	classes      []int         // Of the workers, by their paces.
+	uneven       bool          // The workers are of several classes.
 }
 
 // headroom counts accelerators of a service's schedulable workers: those that are unallocated, and
@@ -81,6 +83,7 @@
 		p.spreadCounts = append(p.spreadCounts, maps.Clone(b))
 	}
 	p.initResources()
+	p.initClasses()
 	p.countHeadroom()
 	p.assignGuarantees()
 	for _, i := range p.order() {
