schedule: a worker whose pace isn't known counts as the mean of the known

A gang ends with its slowest member: with a third of the workers slow, one with a few unknown members is nearly always slow. The worker's class is logged when it changes.

--- a/internal/dispatch/learn.go
+++ b/internal/dispatch/learn.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"sniperill.example/sniperill/internal/clock"
 	"sniperill.example/sniperill/internal/host"
 	"sniperill.example/sniperill/internal/pace"
@@ -29,6 +31,7 @@
 	runs     map[*member]*runProgress
 	readings []pace.Reading // Since the newest estimate.
 	fittedAt clock.Instant
+	classes  map[string]int // Of the machines, as they were logged.
 }
 
 // runProgress is the progress of a member from the first report on.
@@ -131,6 +134,9 @@
 	maps.DeleteFunc(l.runs, func(m *member, _ *runProgress) bool { return ap.members[m.task] != m })
 	l.paces = l.paces.With(now, l.readings...)
 	l.readings, l.fittedAt = nil, now
+	for _, w := range ap.sortedWorkers() {
+		l.logClass(&ap.Log, w)
+	}
 }
 
 // slowestPace returns the pace of the slowest of the workers that a run was placed on.
@@ -141,3 +147,15 @@
 	}
 	return math.Round(100*slowest) / 100
 }
+
+// logClass logs that a worker has got into another class of paces.
+func (l *learner) logClass(log *zerolog.Logger, w *worker) {
+	machine, p := w.machineName(), l.paces.Of(w.machineName())
+	class := pace.Class(p)
+	if l.classes[machine] == class {
+		return
+	}
+	l.classes[machine] = class
+	log.Info().Str("node", w.name).Str("machine", machine).Float64("pace", math.Round(100*p)/100).Int("class", class).
+		Msg("A worker's pace has changed.")
+}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -95,7 +95,7 @@
 	ap.Log.Info().Str("job", w.job.spec.ID).Int("occurrence", w.key.Occurrence).Int("step", w.key.Step).
 		Int("index", w.key.Index).Int("run", u.Run).Int("members", len(members)).Str("node", u.Members[0].AgentName).
 		Int64("epoch", ap.epoch).Uint64("report", idx.workers[workers[0]].reportNumber).
-		Float64("pace", ap.slowestPace(idx, workers)).Dur("waited", waited).Msg("Claimed a run.")
+		Int("priority", ap.currentQueue(w.job).Priority).Float64("pace", ap.slowestPace(idx, workers)).Dur("waited", waited).Msg("Claimed a run.")
 	return members
 }
 
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -221,3 +221,16 @@
 	}
 	return time.Duration(math.Exp(g.logWork(p.known)) * float64(time.Second))
 }
+
+// classWidth is the difference between the logarithms of the paces of two classes of machines. Paces within half
+// of it, 15 %, count as equal: siblings differ by as much on one machine.
+const classWidth = 0.3
+
+// Class returns the class of machines to which a pace belongs: 0 for the median and for what isn't known, less for
+// faster ones.
+func Class(pace float64) int {
+	if pace <= 0 {
+		return 0
+	}
+	return int(math.Round(math.Log(pace) / classWidth))
+}
--- a/internal/schedule/pace.go
+++ b/internal/schedule/pace.go
@@ -1,23 +1,30 @@
 package schedule
 
 import (
-	"math"
+	"cmp"
 	"slices"
 	"time"
-)
-
-// classWidth is the difference between the logarithms of the paces of two classes of workers. Paces within half
-// of it, 15 %, count as equal: siblings differ by as much on one worker.
-const classWidth = 0.3
 
-// paceClass returns the class of workers to which a pace belongs: 0 for the median, less for faster ones.
-func paceClass(pace float64) int { return int(math.Round(math.Log(pace) / classWidth)) }
+	"sniperill.example/sniperill/internal/pace"
+)
 
-// initClasses divides the workers into classes by their paces.
+// initClasses divides the workers into classes by their paces. A worker that isn't known is taken to be as fast as
+// the known ones are on average, so that it comes after the fast ones for a gang, which ends with its slowest member.
 func (p *planner) initClasses() {
+	sum, known := 0.0, 0
+	for i := range p.Workers {
+		if at := p.Workers[i].Pace; at > 0 {
+			sum += at
+			known++
+		}
+	}
+	mean := 1.0
+	if known > 0 {
+		mean = sum / float64(known)
+	}
 	p.classes = make([]int, len(p.Workers))
 	for i := range p.Workers {
-		p.classes[i] = paceClass(p.Workers[i].pace())
+		p.classes[i] = pace.Class(cmp.Or(p.Workers[i].Pace, mean))
 		p.uneven = p.uneven || p.classes[i] != p.classes[0]
 	}
 }
@@ -36,8 +43,8 @@
 }
 
 // meets reports whether a unit that starts now ends by its objective, at a pace.
-func (p *planner) meets(w *WaitingUnit, pace float64) bool {
-	return !p.Now.Add(time.Duration(pace * float64(w.Estimate))).After(w.Objective)
+func (p *planner) meets(w *WaitingUnit, at float64) bool {
+	return !p.Now.Add(time.Duration(at * float64(w.Estimate))).After(w.Objective)
 }
 
 // compareClasses orders workers by how well their classes suit a unit: urgent work takes the fastest, other work
