dispatch, clusterstate: what is learned of the paces lasts

A planner that steps up, also after all machines have lost power, begins with the paces that the one before has stored: a few bytes a machine, in 16 records of which the changed ones are written, at most every five seconds, and none while all workers are alike.

--- a/internal/clusterstate/record.go
+++ b/internal/clusterstate/record.go
@@ -22,6 +22,7 @@
 	agentPrefix    = "w/"
 	plannerKey     = "planner"
 	heartbeatKey   = "beat"
+	pacePrefix     = "pace/"
 )
 
 // Address is where a process of the system can be reached.
--- a/internal/clusterstate/state.go
+++ b/internal/clusterstate/state.go
@@ -65,6 +65,7 @@
 	planner atomic.Pointer[Planner]
 	entries sync.Map // Address by name.
 	agents  sync.Map // Address by name.
+	paces   sync.Map // Machines' paces, map[string]pace.Known, by block.
 }
 
 // Job returns a job by its id.
@@ -151,6 +152,8 @@
 		err = s.applyHeartbeat(r)
 	case entryPrefix:
 		_, err = applyAddress(&s.entries, id, r)
+	case pacePrefix:
+		err = s.applyPaces(id, r)
 	case agentPrefix:
 		var a Address
 		if a, err = applyAddress(&s.agents, id, r); err == nil && r.Value != nil && s.OnAgentRegistered != nil {
--- a/internal/dispatch/active.go
+++ b/internal/dispatch/active.go
@@ -217,6 +217,7 @@
 func (ap *activePlanner) loadState() {
 	ap.mu.Lock()
 	defer ap.mu.Unlock()
+	ap.learner.load(ap.ClusterState.Paces())
 	for _, a := range ap.ClusterState.Agents() {
 		ap.addWorker(a)
 	}
@@ -381,6 +382,7 @@
 		ap.lastHeartbeat = now
 		b.records = append(b.records, clusterstate.HeartbeatRecord(ap.epoch))
 	}
+	b.records = append(b.records, ap.paceRecords(clock.Now())...)
 	for _, w := range ap.workers {
 		if w.appliedEnds.number > w.storedEnds.number || w.appliedEnds.lifetime != w.storedEnds.lifetime {
 			b.storedEnds[w] = w.appliedEnds
--- a/internal/dispatch/learn.go
+++ b/internal/dispatch/learn.go
@@ -4,13 +4,16 @@
 	"cmp"
 	"maps"
 	"math"
+	"slices"
 	"strconv"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"sniperill.example/sniperill/internal/clock"
+	"sniperill.example/sniperill/internal/clusterstate"
 	"sniperill.example/sniperill/internal/host"
+	"sniperill.example/sniperill/internal/journal"
 	"sniperill.example/sniperill/internal/pace"
 )
 
@@ -23,6 +26,11 @@
 	minProgressBetween = 10
 	// minProgressTime is the least time that it must have taken, as a start's answer may be late by some of it.
 	minProgressTime = 250 * time.Millisecond
+	// storeInterval is the least time between two stores of the workers' paces. A loss of power costs at most what
+	// was learned since.
+	storeInterval = 5 * time.Second
+	// storedChange is the change of the logarithm of a pace that is worth storing: a third of a class.
+	storedChange = 0.1
 )
 
 // learner learns the paces of the workers from the progress and the ends of their runs.
@@ -32,6 +40,8 @@
 	readings []pace.Reading // Since the newest estimate.
 	fittedAt clock.Instant
 	classes  map[string]int // Of the machines, as they were logged.
+	stored   map[string]pace.Known
+	storedAt clock.Instant
 }
 
 // runProgress is the progress of a member from the first report on.
@@ -159,3 +169,50 @@
 	log.Info().Str("node", w.name).Str("machine", machine).Float64("pace", math.Round(100*p)/100).Int("class", class).
 		Msg("A worker's pace has changed.")
 }
+
+// load takes over what earlier planners have learned.
+func (l *learner) load(stored map[string]pace.Known) {
+	l.stored = stored
+	l.paces = l.paces.WithStored(stored)
+}
+
+// paceRecords returns the records of the paces that have changed noticeably since they were stored. Nothing is
+// stored as long as all workers are alike.
+func (ap *activePlanner) paceRecords(now clock.Instant) []journal.Record {
+	l := &ap.learner
+	if now.Sub(l.storedAt) < storeInterval || l.fittedAt <= l.storedAt {
+		return nil
+	}
+	known := l.paces.Known()
+	uneven := false
+	changed := make(map[int]bool)
+	for machine, k := range known {
+		uneven = uneven || pace.Class(l.paces.Of(machine)) != 0
+		old := l.stored[machine]
+		if math.Abs(k.LogPace-old.LogPace) >= storedChange || k.Readings >= 2*old.Readings {
+			changed[clusterstate.PaceBlock(machine)] = true
+		}
+	}
+	if !uneven || len(changed) == 0 {
+		return nil
+	}
+	l.storedAt, l.stored = now, maps.Clone(l.stored)
+	blocks := make(map[int]map[string]pace.Known)
+	for machine, k := range known {
+		block := clusterstate.PaceBlock(machine)
+		if !changed[block] {
+			continue
+		}
+		if blocks[block] == nil {
+			blocks[block] = make(map[string]pace.Known)
+		}
+		if len(blocks[block]) < clusterstate.MaxPaces {
+			blocks[block][machine], l.stored[machine] = k, k
+		}
+	}
+	var out []journal.Record
+	for _, block := range slices.Sorted(maps.Keys(blocks)) {
+		out = append(out, clusterstate.PaceRecord(block, blocks[block]))
+	}
+	return out
+}
