--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -224,7 +224,7 @@
 
 // classWidth is the difference between the logarithms of the paces of two classes of machines. Paces within half
 // of it, 15 %, count as equal: siblings differ by as much on one machine.
-const classWidth = 0.3
+const classWidth = 0.2
 
 // Class returns the class of machines to which a pace belongs: 0 for the median and for what isn't known, less for
 // faster ones.
