--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -27,10 +27,10 @@
 	// Window is the time for which a reading counts.
 	Window = 10 * time.Minute
 	// MaxGroups limits the groups whose readings are kept. The one without a new reading for longest is dropped first.
-	MaxGroups = 256
+	MaxGroups = 128
 	// maxPerMachine is the number of readings of a machine that count, the newest ones, so that a machine that was
 	// slow for a while isn't taken as slow for long.
-	maxPerMachine = 9
+	maxPerMachine = 25
 	// maxKnownWeight is the number of readings that a pace which an earlier planner has learned counts for at most.
 	maxKnownWeight = 4
 	// noise is the standard deviation of the logarithm of the run time among siblings on one machine. By the
@@ -39,8 +39,8 @@
 	// maxDeviation bounds what one machine adds to the spread of the paces. Some tasks take several times as
 	// long as their siblings, which says nothing about their machines.
 	maxDeviation = 0.7
-	// rounds is how often work and paces are estimated in turn. Changes are small after the third time.
-	rounds = 4
+	// rounds is how often work and paces are estimated in turn, starting from what was known before.
+	rounds = 2
 )
 
 // Known is what is known of a machine.
@@ -60,7 +60,12 @@
 }
 
 // group is the newest reading of each run of a group, the newest last.
-type group []Reading
+type group []reading
+
+type reading struct {
+	Reading
+	log float64 // Of the run time in seconds.
+}
 
 func (g group) newest() clock.Instant { return g[len(g)-1].At }
 
@@ -85,8 +90,8 @@
 		if r.RunTime <= 0 || r.Machine == "" {
 			continue
 		}
-		old := slices.DeleteFunc(slices.Clone(p.groups[r.Group]), func(o Reading) bool { return o.Run == r.Run })
-		p.groups[r.Group] = append(old, r)
+		old := slices.DeleteFunc(slices.Clone(p.groups[r.Group]), func(o reading) bool { return o.Run == r.Run })
+		p.groups[r.Group] = append(old, reading{r, math.Log(r.RunTime.Seconds())})
 	}
 	maps.DeleteFunc(p.groups, func(_ string, g group) bool { return now.Sub(g.newest()) > Window })
 	if over := len(p.groups) - MaxGroups; over > 0 {
@@ -120,7 +125,7 @@
 			g := p.groups[name]
 			work := g.logWork(known)
 			for _, r := range g {
-				byMachine[r.Machine] = append(byMachine[r.Machine], deviation{r.At, math.Log(r.RunTime.Seconds()) - work})
+				byMachine[r.Machine] = append(byMachine[r.Machine], deviation{r.At, r.log - work})
 			}
 		}
 		next := maps.Clone(p.stored)
@@ -146,7 +151,7 @@
 
 // compares reports whether the group has readings of several machines.
 func (g group) compares() bool {
-	return slices.ContainsFunc(g, func(r Reading) bool { return r.Machine != g[0].Machine })
+	return slices.ContainsFunc(g, func(r reading) bool { return r.Machine != g[0].Machine })
 }
 
 // logWork returns the logarithm of the run time of the group's tasks on a machine of median speed. Machines that
@@ -156,7 +161,7 @@
 	for _, r := range g {
 		k := known[r.Machine]
 		for range 1 + min(k.Readings, maxKnownWeight) {
-			values = append(values, math.Log(r.RunTime.Seconds())-k.LogPace)
+			values = append(values, r.log-k.LogPace)
 		}
 	}
 	slices.Sort(values)
--- a/internal/schedule/load_test.go
+++ b/internal/schedule/load_test.go
@@ -79,10 +79,12 @@
 	// powerLossAt is the time since testStart at which all workers lose their running units, zero
 	// for never.
 	powerLossAt time.Duration
+	// paces holds the run time factors of the workers, in turn.
+	paces []float64
 }
 
 func newLoadSimulation(c loadCase, seed uint64) *loadSimulation {
-	l := &loadSimulation{classes: c.classes, rng: rand.New(rand.NewPCG(seed, 7)), workers: newWorkers(c.workers), teams: c.teams, workersPerRack: c.workersPerRack, stopTime: c.stopTime, now: testStart, computePlan: schedule.ComputePlan, powerLossAt: c.powerLossAt}
+	l := &loadSimulation{classes: c.classes, rng: rand.New(rand.NewPCG(seed, 7)), workers: newWorkers(c.workers), teams: c.teams, workersPerRack: c.workersPerRack, stopTime: c.stopTime, now: testStart, computePlan: schedule.ComputePlan, powerLossAt: c.powerLossAt, paces: []float64{1, 1, slowWorkerFactor}}
 	for i := range l.workers {
 		l.workers[i].Resources.MilliCores, l.workers[i].Resources.MemoryMB = c.milliCores, c.memoryMB
 		l.workers[i].Rack = fmt.Sprint("rack-", i/c.workersPerRack)
@@ -230,13 +232,14 @@
 	return jobs, freed
 }
 
-// runTime returns how long a unit runs on its workers. Every third worker is slow.
+// runTime returns how long a unit runs on its workers: as long as on the slowest of them.
 func (l *loadSimulation) runTime(u *loadUnit) time.Duration {
 	apart := slices.ContainsFunc(u.workers, func(w int) bool { return l.workers[w].Rack != l.workers[u.workers[0]].Rack })
-	out := u.remaining
-	if slices.ContainsFunc(u.workers, func(w int) bool { return w%3 == 2 }) {
-		out = time.Duration(slowWorkerFactor * float64(out))
+	slowest := 0.0
+	for _, w := range u.workers {
+		slowest = max(slowest, l.paces[w%len(l.paces)])
 	}
+	out := time.Duration(slowest * float64(u.remaining))
 	if u.job.step.SameRack && apart {
 		out *= crossRackFactor
 	}
