--- a/internal/clusterstate/paces.go
+++ b/internal/clusterstate/paces.go
@@ -65,7 +65,7 @@
 	if err := json.Unmarshal(r.Value, &stored); err != nil {
 		return err
 	}
-	if len(stored) > MaxPaces {
+	if stored == nil || len(stored) > MaxPaces {
 		return fmt.Errorf("%w: paces of %d machines in block %d", errOther, len(stored), block)
 	}
 	known := make(map[string]pace.Known, len(stored))
--- a/internal/dispatch/learn.go
+++ b/internal/dispatch/learn.go
@@ -8,8 +8,6 @@
 	"strconv"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"sniperill.example/sniperill/internal/clock"
 	"sniperill.example/sniperill/internal/clusterstate"
 	"sniperill.example/sniperill/internal/host"
@@ -142,11 +140,9 @@
 		return
 	}
 	maps.DeleteFunc(l.runs, func(m *member, _ *runProgress) bool { return ap.members[m.task] != m })
-	l.paces = l.paces.With(now, l.readings...)
+	timed(paceDuration, func() { l.paces = l.paces.With(now, l.readings...) })
 	l.readings, l.fittedAt = nil, now
-	for _, w := range ap.sortedWorkers() {
-		l.logClass(&ap.Log, w)
-	}
+	ap.showClasses()
 }
 
 // slowestPace returns the pace of the slowest of the workers that a run was placed on.
@@ -158,16 +154,34 @@
 	return math.Round(100*slowest) / 100
 }
 
-// logClass logs that a worker has got into another class of paces.
-func (l *learner) logClass(log *zerolog.Logger, w *worker) {
-	machine, p := w.machineName(), l.paces.Of(w.machineName())
-	class := pace.Class(p)
-	if l.classes[machine] == class {
-		return
+// showClasses logs which workers have got into another class of paces, and counts the workers by their classes.
+func (ap *activePlanner) showClasses() {
+	l := &ap.learner
+	var fast, median, slow, unknown float64
+	for _, w := range ap.sortedWorkers() {
+		machine := w.machineName()
+		p := l.paces.Of(machine)
+		class := pace.Class(p)
+		switch {
+		case p == 0:
+			unknown++
+		case class < 0:
+			fast++
+		case class == 0:
+			median++
+		default:
+			slow++
+		}
+		if l.classes[machine] != class {
+			l.classes[machine] = class
+			ap.Log.Info().Str("node", w.name).Str("machine", machine).Float64("pace", math.Round(100*p)/100).Int("class", class).
+				Msg("A worker's pace has changed.")
+		}
 	}
-	l.classes[machine] = class
-	log.Info().Str("node", w.name).Str("machine", machine).Float64("pace", math.Round(100*p)/100).Int("class", class).
-		Msg("A worker's pace has changed.")
+	fastWorkers.Set(fast)
+	medianWorkers.Set(median)
+	slowWorkers.Set(slow)
+	newWorkers.Set(unknown)
 }
 
 // load takes over what earlier planners have learned.
@@ -198,17 +212,15 @@
 	}
 	l.storedAt, l.stored = now, maps.Clone(l.stored)
 	blocks := make(map[int]map[string]pace.Known)
-	for machine, k := range known {
+	for _, machine := range ap.machinesByUse(known) {
 		block := clusterstate.PaceBlock(machine)
-		if !changed[block] {
+		if !changed[block] || len(blocks[block]) >= clusterstate.MaxPaces {
 			continue
 		}
 		if blocks[block] == nil {
 			blocks[block] = make(map[string]pace.Known)
 		}
-		if len(blocks[block]) < clusterstate.MaxPaces {
-			blocks[block][machine], l.stored[machine] = k, k
-		}
+		blocks[block][machine], l.stored[machine] = known[machine], known[machine]
 	}
 	var out []journal.Record
 	for _, block := range slices.Sorted(maps.Keys(blocks)) {
@@ -216,3 +228,20 @@
 	}
 	return out
 }
+
+// machinesByUse returns the names of the known machines, those of current workers first.
+func (ap *activePlanner) machinesByUse(known map[string]pace.Known) []string {
+	used := make(map[string]bool)
+	for _, w := range ap.workers {
+		used[w.machineName()] = true
+	}
+	return slices.SortedFunc(maps.Keys(known), func(a, b string) int {
+		if used[a] != used[b] {
+			if used[a] {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a, b)
+	})
+}
--- /dev/null
+++ b/internal/dispatch/learn_test.go
@@ -0,0 +1,116 @@
+package dispatch_test
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"sniperill.example/sniperill/internal/clusterstate"
+	"sniperill.example/sniperill/internal/standin"
+	"sniperill.example/sniperill/pkg/shop"
+	"sniperill.example/sniperill/pkg/workflow"
+)
+
+// placements records on which workers the tasks of jobs started.
+type placements struct {
+	mu   sync.Mutex
+	jobs map[string][]string
+}
+
+func (p *placements) record(worker, task string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if t, err := clusterstate.ParseTaskID(task); err == nil {
+		p.jobs[t.Job] = append(p.jobs[t.Job], worker)
+	}
+}
+
+func (p *placements) of(job string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Sorted(slices.Values(p.jobs[job]))
+}
+
+// newUnevenCluster returns a cluster some of whose workers take 2.4 times as long as the others.
+func newUnevenCluster(t *testing.T, workers int, slow ...string) (*cluster, *placements) {
+	placed := &placements{jobs: make(map[string][]string)}
+	c := newClusterWith(t, 3, workers, func(*standin.Store) {}, func(e *standin.Executor) {
+		required, started := e.Requirements, e.OnRunStarted
+		e.OnRunStarted = func(task string, run int) {
+			placed.record(e.Lifetime.ID, task)
+			started(task, run)
+		}
+		if slices.Contains(slow, e.Lifetime.ID) {
+			e.Requirements = func(task string) (workflow.Resources, time.Duration) {
+				r, d := required(task)
+				return r, time.Duration(2.4 * float64(d))
+			}
+		}
+	})
+	return c, placed
+}
+
+// Urgent gangs start on the fast workers once a job has run on all of them, also with the next planner.
+func TestUrgentWorkStartsOnFastWorkers(t *testing.T) {
+	withVirtualTime(t, func(t *testing.T) {
+		c, placed := newUnevenCluster(t, 6, "worker-1", "worker-4")
+		checker := c.watchRuns()
+		time.Sleep(3 * time.Second)
+		c.submit("a", "red", "batch", many(task(6, 8), 6))
+		c.await(40*time.Second, shop.Done, "a")
+		fast := []string{"worker-0", "worker-2", "worker-3", "worker-5"}
+		c.submit("b", "red", "urgent", gang(task(2, 8), 4))
+		c.await(10*time.Second, shop.Done, "b")
+		if diff := cmp.Diff(fast, placed.of("b")); diff != "" {
+			t.Errorf("workers of the gang (-want +got):\n%s", diff)
+		}
+		time.Sleep(6 * time.Second)
+		c.killPlanner()
+		c.awaitPlanner()
+		time.Sleep(3 * time.Second)
+		c.submit("c", "red", "urgent", gang(task(2, 8), 4))
+		c.await(10*time.Second, shop.Done, "c")
+		if diff := cmp.Diff(fast, placed.of("c")); diff != "" {
+			t.Errorf("workers of the gang with the next planner (-want +got):\n%s", diff)
+		}
+		c.reportViolations(checker)
+	})
+}
+
+// The running tasks of a job tell the paces a few seconds after its start, before any of them ends.
+func TestProgressTellsPaces(t *testing.T) {
+	withVirtualTime(t, func(t *testing.T) {
+		c, placed := newUnevenCluster(t, 6, "worker-1", "worker-4")
+		checker := c.watchRuns()
+		time.Sleep(3 * time.Second)
+		c.submit("a", "red", "batch", gang(task(30, 5), 6))
+		time.Sleep(5 * time.Second)
+		c.submit("b", "red", "urgent", gang(task(2, 3), 2))
+		c.await(10*time.Second, shop.Done, "b")
+		for _, worker := range placed.of("b") {
+			if worker == "worker-1" || worker == "worker-4" {
+				t.Errorf("the gang started on %s, which is slow", worker)
+			}
+		}
+		c.reportViolations(checker)
+	})
+}
+
+// Nothing is stored as long as all workers are alike.
+func TestPacesOfLikeWorkersAreNotStored(t *testing.T) {
+	withVirtualTime(t, func(t *testing.T) {
+		c, _ := newUnevenCluster(t, 4)
+		time.Sleep(3 * time.Second)
+		c.submit("a", "red", "batch", many(task(5, 8), 12))
+		c.await(60*time.Second, shop.Done, "a")
+		for _, r := range c.store.Records() {
+			if strings.HasPrefix(r.Key, "pace/") {
+				t.Errorf("record %q was stored: %s", r.Key, r.Value)
+			}
+		}
+	})
+}
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -18,6 +18,11 @@
 	planDuration  = metrics.NewHistogram("sniperill_planner_plan_duration_seconds")
 	storeDuration = metrics.NewHistogram("sniperill_planner_store_duration_seconds")
 	waitDuration  = metrics.NewHistogram("sniperill_planner_wait_seconds")
+	paceDuration  = metrics.NewHistogram("sniperill_planner_pace_duration_seconds")
+	fastWorkers   = metrics.NewGauge(`sniperill_planner_workers{pace="fast"}`, nil)
+	medianWorkers = metrics.NewGauge(`sniperill_planner_workers{pace="median"}`, nil)
+	slowWorkers   = metrics.NewGauge(`sniperill_planner_workers{pace="slow"}`, nil)
+	newWorkers    = metrics.NewGauge(`sniperill_planner_workers{pace="unknown"}`, nil)
 )
 
 // endLabels are the metric labels of the ways in which a run ends.
