dispatch: who waits for its gang or is long isn't stuck

A gang's member shows 100 percent when its own work is done and ends with the slowest one; after 3 s and two percent of its declared estimate it was taken for standing still, the whole gang stopped and its worker paused, up to four times a gang. Standing still is now judged on the member that takes longest, by the time that the run has taken for one percent so far, and a task may stand still for as long as its restart would take to be as far again. A unit that stands still again gets twice the time, so that one which takes very long for its first percent is done. The remaining time of a unit is that of its slowest member, by its own rate.

--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -44,6 +44,7 @@
 	avoidLifetime     string    // Lifetime of the worker on which it last failed or got stuck.
 	avoidUntil        time.Time // From then on that worker is used if no other has room.
 	startedAt         clock.Instant
+	standstills       int      // How many of its runs were stopped as they stood still.
 	reservedLifetimes []string // Lifetimes of the workers that are reserved for it.
 }
 
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -43,11 +43,7 @@
 	lastStopAt    clock.Instant // When the newest stop was sent.
 	// ackedEndAtStop is up to which number the worker had forgotten its ended runs by then, at least.
 	ackedEndAtStop uint64
-	percent        int
-	percentAt      clock.Instant // When percent last changed.
-	// unchangedFor is for how long percent has not changed, counting only the time for which the agent
-	// has reported.
-	unchangedFor time.Duration
+	progress
 }
 
 func (m *member) step() *workflow.Step { return &m.job.spec.Steps[m.key.Step] }
@@ -105,11 +101,7 @@
 
 // requestUnitStop marks all members of a unit to be stopped.
 func (ap *activePlanner) requestUnitStop(j *job, key clusterstate.UnitKey) {
-	for _, m := range j.progress.Units[key].Members {
-		if live := ap.member(j, key, m.Index); live != nil {
-			live.requestStop()
-		}
-	}
+	ap.forEachLiveMember(j, key, (*member).requestStop)
 }
 
 func (ap *activePlanner) member(j *job, key clusterstate.UnitKey, index int) *member {
@@ -250,29 +242,16 @@
 	ap.requestUnitStop(m.job, m.key)
 }
 
-const (
-	// stuckTimeout is how long a task may show no progress, in addition to the time that two
-	// percent of it take. Agents report once a second.
-	stuckTimeout = 3 * time.Second
-	// stuckPause is how long a worker on which a task got stuck gets no new tasks.
-	stuckPause = 4 * time.Second
-)
-
-// stuck reports whether a running task makes no progress. Progress is reported in whole
-// percent, and one percent of a long task may take minutes.
-func (ap *activePlanner) stuck(m *member) bool {
-	if m.status != running || m.step().Endless {
-		return false
-	}
-	percentTime := time.Duration(ap.RemoteFactor * float64(m.step().Estimate) / 100)
-	return m.unchangedFor > stuckTimeout+2*percentTime
-}
-
 // restartElsewhere stops the unit of a stuck task, so that it starts again on another worker.
 func (ap *activePlanner) restartElsewhere(m *member, now clock.Instant) {
+	percentTime, _ := m.percentTime()
 	ap.Log.Warn().Str("task", m.task).Int("run", m.run).Str("node", m.worker.name).Int("percent", m.percent).
-		Dur("since", m.unchangedFor).Msg("A task stands still; it runs again elsewhere.")
-	m.job.unitState(m.key).avoid(m.lifetime)
+		Dur("since", m.unchangedFor).Dur("limit", ap.standstillLimit(m)).Dur("percent_time", percentTime).
+		Msg("A task stands still; it runs again elsewhere.")
+	standstills.Inc()
+	state := m.job.unitState(m.key)
+	state.avoid(m.lifetime)
+	state.standstills++
 	m.worker.pausedUntil = max(m.worker.pausedUntil, now.Add(stuckPause))
 	ap.requestUnitStop(m.job, m.key)
 }
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -14,6 +14,7 @@
 	preemptions   = metrics.NewCounter("sniperill_planner_evictions_total")
 	quarantines   = metrics.NewCounter("sniperill_planner_quarantines_total")
 	evacuations   = metrics.NewCounter("sniperill_planner_evacuations_total")
+	standstills   = metrics.NewCounter("sniperill_planner_standstills_total")
 	unclaimedRuns = metrics.NewCounter("sniperill_planner_unclaimed_runs_total")
 	planDuration  = metrics.NewHistogram("sniperill_planner_plan_duration_seconds")
 	storeDuration = metrics.NewHistogram("sniperill_planner_store_duration_seconds")
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -162,29 +162,6 @@
 	}
 }
 
-// lostAndRemaining estimates the run time that a stop loses and the run time that remains.
-func (ap *activePlanner) lostAndRemaining(m *member) (lost, remaining time.Duration) {
-	estimate := m.step().Estimate
-	startedAt := m.job.unitState(m.key).startedAt
-	ran := clock.Since(startedAt)
-	if startedAt == 0 {
-		ran = estimate * time.Duration(m.percent) / 100
-	}
-	lost = ran
-	if m.step().Checkpoints {
-		lost = min(lost, ap.CheckpointInterval)
-	}
-	switch {
-	case m.percent > 0 && startedAt != 0: // The percentage may be a second old.
-		remaining = m.percentAt.Sub(startedAt)*100/time.Duration(m.percent) - ran
-	case m.percent > 0:
-		remaining = ran * time.Duration(100-m.percent) / time.Duration(m.percent)
-	default:
-		remaining = estimate - ran
-	}
-	return lost, max(0, remaining)
-}
-
 func (ap *activePlanner) appendWaiting(v *schedule.View, idx *viewIndex, indices map[*worker]int) {
 	byLifetime := make(map[string]int)
 	for w, i := range indices {
--- a/internal/dispatch/planner_test.go
+++ b/internal/dispatch/planner_test.go
@@ -331,19 +331,8 @@
 				time.Sleep(3 * time.Second)
 				c.submit("a", "red", "urgent", tt.step)
 				time.Sleep(tt.ran)
-				var leaving *agent
-				for _, a := range c.agents {
-					if slices.Contains(a.machine.Executor().Running(), "a.0.0.0") {
-						leaving = a
-					}
-				}
-				drain := leaving.machine.Executor().Heartbeat("s", "r1-0", leaving.heartbeats.Add(1))
-				drain.Draining, drain.DrainRemaining = true, 2*time.Second
-				if err := leaving.process.Heartbeat(c.ctx, drain); err != nil {
-					t.Fatal(err)
-				}
 				announced := time.Now()
-				time.AfterFunc(2*time.Second, leaving.machine.Executor().Crash)
+				c.leave("a.0.0.0", 2*time.Second)
 				c.await(tt.within, shop.Done, "a")
 				if n := c.runs.count("a.0.0.0"); n != tt.starts {
 					t.Errorf("a.0.0.0 was started %d times, want %d; done after %v", n, tt.starts, time.Since(announced))
@@ -353,6 +342,23 @@
 	}
 }
 
+// leave makes the worker on which a task runs announce that it leaves, and be gone after d.
+func (c *cluster) leave(task string, d time.Duration) {
+	c.t.Helper()
+	var leaving *agent
+	for _, a := range c.agents {
+		if slices.Contains(a.machine.Executor().Running(), task) {
+			leaving = a
+		}
+	}
+	drain := leaving.machine.Executor().Heartbeat("s", "r1-0", leaving.heartbeats.Add(1))
+	drain.Draining, drain.DrainRemaining = true, d
+	if err := leaving.process.Heartbeat(c.ctx, drain); err != nil {
+		c.t.Fatal(err)
+	}
+	time.AfterFunc(d, leaving.machine.Executor().Crash)
+}
+
 // A worker crashes and restarts with the same id while a start is on its way to it. The start
 // takes effect in the new lifetime, and that run must end before the task runs elsewhere.
 func TestLateStartReachesRestartedWorker(t *testing.T) {
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -117,10 +117,7 @@
 		if m.settled && t.GetListed() && m.lifetime == w.lifetime {
 			m.lateUntil = 0
 		}
-		m.unchangedFor += observed
-		if int(t.GetPercent()) != m.percent {
-			m.percent, m.percentAt, m.unchangedFor = int(t.GetPercent()), clock.Now(), 0
-		}
+		m.report(int(t.GetPercent()), clock.Now(), observed)
 		if t.GetCheckpoint() != "" {
 			ap.saveCheckpoint(m, t.GetCheckpoint())
 		}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -382,7 +382,7 @@
 		case pb.Outcome_OUTCOME_STARTED:
 			if m.status == starting {
 				m.status = running
-				m.unchangedFor = 0
+				m.begin(clock.Now(), m.job.progress.Units[m.key].Checkpoint != "")
 			}
 		case pb.Outcome_OUTCOME_REFUSED:
 			m.worker.pausedUntil = clock.Now().Add(refusedPause)
--- a/internal/standin/executor.go
+++ b/internal/standin/executor.go
@@ -23,6 +23,9 @@
 	Resources workflow.Resources
 	// Requirements returns the resources and the run time of a task, given its name.
 	Requirements func(task string) (workflow.Resources, time.Duration)
+	// OwnWork, if set, returns how long a task's own work takes, which its progress tells. A gang's member runs
+	// until the slowest one ends.
+	OwnWork func(task string, runTime time.Duration) time.Duration
 	// OnRunStarted is called for each run that starts.
 	OnRunStarted func(task string, run int)
 	// OnRunEnded is called for each run that ends, with the time for which it actually ran.
@@ -364,7 +367,11 @@
 		state.Ended, state.MoreEnded = state.Ended[:e.MaxEnded], !e.CutsSilently
 	}
 	for name, r := range e.running {
-		percent := int(100 * r.worked() / max(1, r.duration))
+		work := r.duration
+		if e.OwnWork != nil {
+			work = e.OwnWork(name.task, work)
+		}
+		percent := int(min(100, 100*r.worked()/max(1, work)))
 		state.Running = append(state.Running, host.Running{Task: name.task, Run: name.number, Checkpoint: e.Checkpoint, Percent: percent})
 	}
 	slices.SortFunc(state.Running, func(a, b host.Running) int { return cmp.Or(strings.Compare(a.Task, b.Task), a.Run-b.Run) })
