--- a/internal/dispatch/active.go
+++ b/internal/dispatch/active.go
@@ -51,6 +51,7 @@
 	members       map[string]*member // By task.
 	unstored      []*member          // Claimed, but the store has rejected the records of their jobs.
 	lastHeartbeat clock.Instant      // When the newest heartbeat was written.
+	learner       learner
 
 	group errgroup.Group
 	ctx   context.Context // Of the calls to agents, also to those that register later.
@@ -67,6 +68,7 @@
 		},
 		changedJobs: make(map[string]bool), jobs: make(map[string]*job),
 		workers: make(map[string]*worker), members: make(map[string]*member),
+		learner: learner{runs: make(map[*member]*runProgress), classes: make(map[string]int)},
 	}
 }
 
@@ -215,6 +217,7 @@
 func (ap *activePlanner) loadState() {
 	ap.mu.Lock()
 	defer ap.mu.Unlock()
+	ap.learner.load(ap.ClusterState.Paces())
 	for _, a := range ap.ClusterState.Agents() {
 		ap.addWorker(a)
 	}
@@ -379,6 +382,7 @@
 		ap.lastHeartbeat = now
 		b.records = append(b.records, clusterstate.HeartbeatRecord(ap.epoch))
 	}
+	b.records = append(b.records, ap.paceRecords(clock.Now())...)
 	for _, w := range ap.workers {
 		if w.appliedEnds.number > w.storedEnds.number || w.appliedEnds.lifetime != w.storedEnds.lifetime {
 			b.storedEnds[w] = w.appliedEnds
