dispatch: no task starts in a zone that operators evacuate

Cause: nothing read the operators' records that evacuate a zone; starts went on there. Change: the records are followed beside the configuration. The planner places nothing in such a zone, withdraws starts that it has claimed and not sent, and sends none while its knowledge of the records is too old for the bound of the deployment; agents refuse starts once they are told.

--- a/internal/dispatch/active.go
+++ b/internal/dispatch/active.go
@@ -51,6 +51,9 @@
 	members       map[string]*member // By task.
 	unstored      []*member          // Claimed, but the store has rejected the records of their jobs.
 	lastHeartbeat clock.Instant      // When the newest heartbeat was written.
+	// evacuatedZones are the evacuated zones as of the last pass.
+	evacuatedZones map[string]evacuatedZone
+	unbacked       int // By how many accelerators the guarantees exceeded what is left outside these zones.
 
 	group errgroup.Group
 	ctx   context.Context // Of the calls to agents, also to those that register later.
@@ -155,6 +158,7 @@
 	stepUps.Inc()
 	ap.Log.Info().Int64("epoch", ap.epoch).Int("jobs", len(ap.jobs)).Int("agents", len(ap.workers)).
 		Int("tasks", len(ap.members)).Interface("builds", ap.builds()).Msg("Planning.")
+	defer forgetEvacuations()
 	for {
 		if err := ap.runPass(ctx); err != nil {
 			return err
@@ -249,6 +253,7 @@
 	ap.mu.Lock()
 	ap.applyChanges()
 	ap.checkMembers()
+	ap.noteEvacuations()
 	started := append(ap.unstored, ap.plan()...)
 	b := ap.collectBatch()
 	ap.mu.Unlock()
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -39,6 +39,7 @@
 	status        status
 	orderInFlight bool          // A start or stop was sent and has not been answered.
 	lateUntil     clock.Instant // Until then its start may take effect; zero if it can no longer, or if an earlier planner sent it.
+	withheld      bool          // Its start waited, as the operators' records weren't known.
 	settled       bool          // Its start was answered, and no attempt of it is on its way.
 	lastStopAt    clock.Instant // When the newest stop was sent.
 	// ackedEndAtStop is up to which number the worker had forgotten its ended runs by then, at least.
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -9,15 +9,21 @@
 )
 
 var (
-	stepUps       = metrics.NewCounter("sniperill_planner_reigns_total")
-	claims        = metrics.NewCounter("sniperill_planner_claims_total")
-	preemptions   = metrics.NewCounter("sniperill_planner_evictions_total")
-	quarantines   = metrics.NewCounter("sniperill_planner_quarantines_total")
-	evacuations   = metrics.NewCounter("sniperill_planner_evacuations_total")
-	unclaimedRuns = metrics.NewCounter("sniperill_planner_unclaimed_runs_total")
-	planDuration  = metrics.NewHistogram("sniperill_planner_plan_duration_seconds")
-	storeDuration = metrics.NewHistogram("sniperill_planner_store_duration_seconds")
-	waitDuration  = metrics.NewHistogram("sniperill_planner_wait_seconds")
+	stepUps        = metrics.NewCounter("sniperill_planner_reigns_total")
+	claims         = metrics.NewCounter("sniperill_planner_claims_total")
+	preemptions    = metrics.NewCounter("sniperill_planner_evictions_total")
+	quarantines    = metrics.NewCounter("sniperill_planner_quarantines_total")
+	evacuations    = metrics.NewCounter("sniperill_planner_evacuations_total")
+	evacuatedZones = metrics.NewGauge("sniperill_planner_evacuated_zones", nil)
+	evacuatedTasks = metrics.NewGauge("sniperill_planner_evacuated_zone_tasks", nil)
+	// unbackedAccelerators is by how many the guarantees exceed those outside evacuated zones.
+	unbackedAccelerators = metrics.NewGauge("sniperill_planner_unbacked_accelerators", nil)
+	withdrawnStarts      = metrics.NewCounter("sniperill_planner_withdrawn_starts_total")
+	withheldStarts       = metrics.NewCounter("sniperill_planner_withheld_starts_total")
+	unclaimedRuns        = metrics.NewCounter("sniperill_planner_unclaimed_runs_total")
+	planDuration         = metrics.NewHistogram("sniperill_planner_plan_duration_seconds")
+	storeDuration        = metrics.NewHistogram("sniperill_planner_store_duration_seconds")
+	waitDuration         = metrics.NewHistogram("sniperill_planner_wait_seconds")
 )
 
 // endLabels are the metric labels of the ways in which a run ends.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -29,7 +29,7 @@
 // returns the members of these runs.
 func (ap *activePlanner) plan() []*member {
 	view, idx := ap.buildView(time.Now())
-	if len(view.Waiting) == 0 {
+	if _, asOf := ap.evacuations(); len(view.Waiting) == 0 || ap.startWindow(clock.Now(), asOf) < minStartWindow {
 		return nil
 	}
 	var next schedule.Plan
@@ -117,6 +117,7 @@
 
 func (ap *activePlanner) appendWorkers(v *schedule.View, idx *viewIndex) map[*worker]int {
 	now := clock.Now()
+	evacuations, _ := ap.evacuations()
 	indices := make(map[*worker]int)
 	for _, w := range ap.sortedWorkers() {
 		if w.lifetime == "" {
@@ -126,7 +127,7 @@
 		idx.workers = append(idx.workers, w)
 		v.Workers = append(v.Workers, schedule.Worker{
 			Worker:      w.hardware,
-			Schedulable: !w.draining && !w.unreachable && now.Sub(w.receivedAt) < maxReportAge,
+			Schedulable: !w.draining && !w.unreachable && now.Sub(w.receivedAt) < maxReportAge && !evacuations.Evacuated(w.zone),
 			Paused:      now < w.pausedUntil,
 			Cold:        max(0, w.coldUntil.Sub(now)),
 		})
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -67,6 +67,9 @@
 	Store        journal.Store
 	// Rules returns the newest configuration, or nil if there is none yet.
 	Rules func() *workflow.Rules
+	// Evacuations returns which zones operators evacuate, and since when they may have decided otherwise; that is
+	// zero as long as nothing is known. If it is nil, no zone is ever evacuated.
+	Evacuations func() (workflow.Evacuations, clock.Instant)
 	// Dial returns a client of the agent at an address.
 	Dial func(address string) sniperillv1connect.HostServiceClient
 	// EntryReady reports whether an entry answers and reaches the store.
@@ -95,6 +98,9 @@
 	CheckpointInterval time.Duration
 	// Retention is how long a job's final state is kept.
 	Retention time.Duration
+	// EvacuationBound is the time from the acknowledgement of a zone's evacuation from which no task may be started
+	// there; zero if there is no such bound.
+	EvacuationBound time.Duration
 }
 
 // PlannerSeen handles an applied record of the newest planner. It is a hook of the cluster
@@ -176,7 +182,7 @@
 	since := clock.Since(seenAt)
 	turn := newTurn(p.rank(seen.Epoch))
 	switch {
-	case p.Rules() == nil:
+	case p.Rules() == nil, !p.evacuationsKnown():
 		return false, standbyPollInterval
 	case seen.Name == p.Name && seen.Incarnation != p.Incarnation:
 		return true, 0 // It was an earlier incarnation of this process.
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -74,6 +74,7 @@
 	askedAt          clock.Instant // When the newest report was asked for.
 	hardware         workflow.Worker
 	zone             string
+	toldEvacuated    bool          // The agent was told that its zone is evacuated, if that call wasn't lost.
 	machine          string        // Identifies the machine across lifetimes.
 	coldUntil        clock.Instant // The worker is slow until then.
 	draining         bool
@@ -109,6 +110,9 @@
 		w = &worker{name: a.Name, zone: a.Zone, orderWakeup: make(chan struct{}, 1), members: make(map[string]*member)}
 		ap.workers[a.Name] = w
 	}
+	if a.Zone != "" {
+		w.zone = a.Zone
+	}
 	if a.Address == "" || a.Address == w.address {
 		return w
 	}
@@ -253,8 +257,10 @@
 	ap.mu.Lock()
 	defer ap.mu.Unlock()
 	w.noteTold(clock.Now())
+	evacuations, _ := ap.evacuations()
 	return &pb.WatchRequest{
-		Epoch: ap.epoch, AgentLife: w.agentIncarnation, Report: w.reportNumber,
+		Evacuation: ap.tellEvacuation(w, evacuations),
+		Epoch:      ap.epoch, AgentLife: w.agentIncarnation, Report: w.reportNumber,
 		Grant:    durationpb.New(ap.grant(w)),
 		Lifetime: w.storedEnds.lifetime, StoredEnd: w.storedEnds.number,
 		SeenVersion: w.reportVersion, Wait: durationpb.New(watchWait), Agent: w.name,
@@ -312,12 +318,27 @@
 	}
 	var starts, stops []*member
 	now := clock.Now()
+	evacuations, asOf := ap.evacuations()
+	mustTell := w.mustTell(now) || evacuations.Evacuated(w.zone) != w.toldEvacuated
+	req.Evacuation = ap.tellEvacuation(w, evacuations)
+	window := ap.startWindow(now, asOf)
 	for _, m := range sortedMembers(w.members) {
+		if ap.members[m.task] != m {
+			continue // It was withdrawn with another member of its gang.
+		}
 		if !m.mayRunIn(w.lifetime) || m.orderInFlight || len(starts)+len(stops) >= maxOrders {
 			continue
 		}
 		switch m.status {
 		case starting:
+			if ap.unitEvacuated(m, evacuations) {
+				ap.withdrawUnit(m, evacuations)
+				continue
+			}
+			if window < minStartWindow {
+				ap.withhold(m, now.Sub(asOf))
+				continue
+			}
 			m.orderInFlight = true
 			starts = append(starts, m)
 			req.Starts = append(req.Starts, &pb.StartTask{
@@ -335,14 +356,14 @@
 	}
 	if len(starts) > 0 {
 		received := w.receivedAt
-		req.Grant = durationpb.New(min(req.GetGrant().AsDuration(), now.Add(startWindow).Sub(received)))
+		req.Grant = durationpb.New(min(req.GetGrant().AsDuration(), now.Add(window).Sub(received)))
 		for _, m := range starts {
 			m.lateUntil = received.Add(req.GetGrant().AsDuration() + host.LateStartTimeout)
 		}
 	}
 	req.Stops = append(req.Stops, w.unclaimedRuns...) // Their results come last and are ignored.
 	w.unclaimedRuns = nil
-	if len(req.GetStarts())+len(req.GetStops()) == 0 && !w.mustTell(now) {
+	if len(req.GetStarts())+len(req.GetStops()) == 0 && !mustTell {
 		return nil, nil
 	}
 	w.noteTold(now)
--- a/internal/host/handler.go
+++ b/internal/host/handler.go
@@ -60,8 +60,8 @@
 	return connect.NewResponse(a.report()), nil
 }
 
-// applyGrant applies the lease grant of a watch call, and drops run ends that the planner has
-// stored.
+// applyGrant applies the lease grant of a watch call and what it tells of the worker's zone, and drops run ends that
+// the planner has stored.
 func (a *Agent) applyGrant(m *pb.WatchRequest) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -69,6 +69,7 @@
 		a.lease.grant(m.GetReport(), m.GetGrant().AsDuration())
 	}
 	a.applyStoredEnd(m.GetLifetime(), m.GetStoredEnd())
+	a.applyEvacuation(m.GetEvacuation())
 }
 
 // applyStoredEnd drops the run ends of a lifetime that the planner has stored. The caller holds the lock.
@@ -284,6 +285,7 @@
 	}
 	a.mu.Lock()
 	a.applyStoredEnd(m.GetLifetime(), m.GetStoredEnd())
+	a.applyEvacuation(m.GetEvacuation())
 	a.mu.Unlock()
 	a.addStops(m.GetStops())
 	results := make([]*pb.OrderResult, len(m.GetStarts()))
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -68,7 +68,8 @@
 	lifetime    Lifetime
 	drainUntil  clock.Instant
 	coldUntil   clock.Instant // The worker is slow until then.
-	leaving     bool          // The worker has announced that it shuts down.
+	evacuation  evacuation
+	leaving     bool // The worker has announced that it shuts down.
 	unreachable bool
 	// shownSince is when the worker first showed another lifetime, with the same id, than it had announced; zero
 	// if it doesn't.
--- a/internal/host/orders.go
+++ b/internal/host/orders.go
@@ -13,13 +13,13 @@
 )
 
 const (
-	// startTimeout bounds one start call to the worker; a healthy worker answers in 1 ms.
-	startTimeout = 350 * time.Millisecond
+	// StartTimeout bounds one start call to the worker; a healthy worker answers in 1 ms.
+	StartTimeout = 350 * time.Millisecond
 	// maxStartAttempts is how often a start that is not answered is sent. The run number makes
 	// repeats harmless.
 	maxStartAttempts = 2
 	// LateStartTimeout bounds how long after its order has lapsed a worker carries out a start.
-	LateStartTimeout = startTimeout + LateCallTimeout
+	LateStartTimeout = StartTimeout + LateCallTimeout
 	// stopTimeout bounds one stop call to the worker.
 	stopTimeout = 350 * time.Millisecond
 	// barTimeout bounds the calls that bar a run whose start was refused. An order may have
@@ -101,7 +101,7 @@
 
 // startOnce makes one start call to the worker.
 func (a *Agent) startOnce(ctx context.Context, order Start) error {
-	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	ctx, cancel := context.WithTimeout(ctx, StartTimeout)
 	defer cancel()
 	return a.Worker.Start(ctx, order)
 }
@@ -120,6 +120,9 @@
 		return 0, "the order is too old"
 	case a.heartbeat.Draining:
 		return 0, "the worker is draining"
+	case a.evacuation.evacuated && m.GetEvacuation() != nil: // Planners of earlier versions don't tell when it ends.
+		evacuatedStarts.Inc()
+		return 0, "the worker's zone is evacuated"
 	case a.unreachable:
 		return 0, "the worker doesn't answer"
 	case a.lease.grantEnd.Sub(now) < minStartLease:
--- a/internal/journal/follower.go
+++ b/internal/journal/follower.go
@@ -39,7 +39,9 @@
 	// Superseded reports whether a record need not be applied if the same page has a newer one of its
 	// key. If it is nil, all records are applied.
 	Superseded func(Record) bool
-	Log        zerolog.Logger
+	// PageApplied, if set, is called after the records of a page were applied, before CaughtUpAt counts it.
+	PageApplied func(AppliedPage)
+	Log         zerolog.Logger
 
 	mu          sync.Mutex // Held during Apply, which therefore must not call methods that lock it.
 	next        int64
@@ -53,6 +55,14 @@
 	caughtUpAt atomic.Int64 // When the last read that reached the end was sent.
 }
 
+// AppliedPage describes a page of records that was applied.
+type AppliedPage struct {
+	Next int64 // The offset at which reading goes on.
+	// Dropped are the keys of applied records that no longer have a value, though no record said so: the history was
+	// trimmed meanwhile.
+	Dropped []string
+}
+
 // Run follows the journal until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	if f.ReadWait == 0 {
@@ -167,7 +177,7 @@
 	if err != nil {
 		return err
 	}
-	f.applyPage(page, sent)
+	f.applyPage(page, sent, !loaded)
 	return nil
 }
 
@@ -203,7 +213,8 @@
 
 // applyPage applies the records that are new. Reads may overlap, and the newest record of a key
 // may lie beyond the offset at which reading continues.
-func (f *Follower) applyPage(page Page, sent clock.Instant) {
+// NewestOfAll says that the page has the newest record of each key.
+func (f *Follower) applyPage(page Page, sent clock.Instant, newestOfAll bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.lastOffsets == nil {
@@ -223,6 +234,13 @@
 	f.loaded = true
 	f.next = max(f.next, page.Next)
 	f.answeredAt.Store(int64(clock.Now()))
+	if f.PageApplied != nil {
+		applied := AppliedPage{Next: f.next}
+		if newestOfAll {
+			applied.Dropped = f.droppedKeys(page)
+		}
+		f.PageApplied(applied)
+	}
 	if f.next >= page.End {
 		f.caughtUpAt.Store(max(f.caughtUpAt.Load(), int64(sent)))
 	}
@@ -232,6 +250,22 @@
 	}
 }
 
+// droppedKeys returns the keys that a page of the newest record of each key doesn't have, but for those of which a
+// record may be newer than the page.
+func (f *Follower) droppedKeys(page Page) []string {
+	kept := make(map[string]bool, len(page.Records))
+	for _, r := range page.Records {
+		kept[r.Key] = true
+	}
+	var out []string
+	for key, last := range f.lastOffsets {
+		if last < page.Next && !kept[key] {
+			out = append(out, key)
+		}
+	}
+	return out
+}
+
 // newestInPage returns the offset of each key's newest record in a page, or nil if all records are to
 // be applied.
 func (f *Follower) newestInPage(page Page) map[string]int64 {
--- a/internal/schedule/view.go
+++ b/internal/schedule/view.go
@@ -21,12 +21,20 @@
 	Cold time.Duration
 }
 
-// pace returns the worker's pace, or 1 if it isn't known.
+// coldFactor is how many times longer a task counts as taking on a cold worker: workers' own paces differ by less, so
+// that each cold worker counts as slower than each warm one.
+const coldFactor = 3
+
+// pace returns the worker's pace, or 1 if it isn't known, and more if the worker is cold.
 func (w *Worker) pace() float64 {
-	if w.Pace <= 0 {
-		return 1
+	pace := w.Pace
+	if pace <= 0 {
+		pace = 1
+	}
+	if w.Cold > 0 {
+		pace *= coldFactor
 	}
-	return w.Pace
+	return pace
 }
 
 // open reports whether the worker takes any new tasks that fit.
