dispatch: tests of evacuated zones; a planner that can't read the operators' records resigns

Change: it resigns after a second in favour of entries that know them; should none, one that doesn't goes on, so that leases are renewed.

--- a/internal/dispatch/active.go
+++ b/internal/dispatch/active.go
@@ -39,6 +39,7 @@
 	startedAt clock.Instant
 	writer    *journal.Writer
 	stepDown  func() // Stops run, as another planner has stepped up.
+	giveUp    func() // Stops run with errBlind.
 	replaced  atomic.Bool
 	wakeup    chan struct{}
 
@@ -53,7 +54,9 @@
 	lastHeartbeat clock.Instant      // When the newest heartbeat was written.
 	// evacuatedZones are the evacuated zones as of the last pass.
 	evacuatedZones map[string]evacuatedZone
-	unbacked       int // By how many accelerators the guarantees exceeded what is left outside these zones.
+	sighted        bool          // The operators' records were known in this reign.
+	blindSince     clock.Instant // Since when they are not; zero if they are.
+	unbacked       int           // By how many accelerators the guarantees exceeded what is left outside these zones.
 
 	group errgroup.Group
 	ctx   context.Context // Of the calls to agents, also to those that register later.
@@ -254,6 +257,7 @@
 	ap.applyChanges()
 	ap.checkMembers()
 	ap.noteEvacuations()
+	ap.checkSight()
 	started := append(ap.unstored, ap.plan()...)
 	b := ap.collectBatch()
 	ap.mu.Unlock()
--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -56,6 +56,8 @@
 	emptyOrders   atomic.Int64 // Order calls without starts and stops.
 	network       network
 	pauses        sync.Map // *pause by the name of the process.
+	// operators, if set, has the operators' records, which entries follow. Then workers are in two zones by turns.
+	operators *standin.Store
 }
 
 // pause is a time in which a process doesn't run, as far as others can tell: its calls and answers go out, and
@@ -119,6 +121,8 @@
 	stopped   chan struct{}
 	storeLink storeLink
 	agents    *agentTable
+	// operatorsLink is the connection to the store with the operators' records.
+	operatorsLink storeLink
 }
 
 // agent is the agent process of a worker.
@@ -745,15 +749,20 @@
 		e.agents.set(agentAddress(a.name), a.process)
 	}
 	planner.EntryReady = e.intake.PeerReady
+	operators := c.followOperators(e, planner)
 	running, kill := context.WithCancel(c.ctx)
 	planning, stop := context.WithCancel(running)
 	e.kill, e.stop, e.killed = func() {
 		// What the process would still do as it stops reaches nobody.
 		e.storeLink.setDisconnected(true)
+		e.operatorsLink.setDisconnected(true)
 		e.agents.cut()
 		kill()
 	}, stop, running.Done()
 	go follower.Run(running)
+	if operators != nil {
+		go operators.Run(running)
+	}
 	go writer.Run(running)
 	go e.intake.Run(running)
 	go register(running, writer, clusterstate.EntryRecord(clusterstate.Address{Name: name, Address: agentAddress(name), CPUShare: cpuShare}))
@@ -809,7 +818,7 @@
 		Store: c.store.Journal(), Producer: journal.Producer{Name: name, Epoch: 1}, Log: c.log,
 	}
 	go writer.Run(c.ctx)
-	go register(c.ctx, writer, clusterstate.AgentRecord(clusterstate.Address{Name: name, Address: agentAddress(name)}))
+	go register(c.ctx, writer, clusterstate.AgentRecord(clusterstate.Address{Name: name, Address: agentAddress(name), Zone: zoneOf(number)}))
 	return a
 }
 
--- a/internal/dispatch/evacuation.go
+++ b/internal/dispatch/evacuation.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"errors"
 	"slices"
 	"time"
 
@@ -38,6 +39,38 @@
 	return min(startWindow, asOf.Add(p.EvacuationBound-host.StartTimeout).Sub(now))
 }
 
+const (
+	// maxBlind is how long a planner that sends no starts, as the operators' records are not known, goes on planning
+	// although it reads the journal: another entry may know them.
+	maxBlind = time.Second
+	// blindDelay is how much later than others an entry that doesn't know them steps up. Leases outlast it.
+	blindDelay = 2 * time.Second
+)
+
+// errBlind is the cause for which a planner resigns that doesn't know the operators' records.
+var errBlind = errors.New("the operators' records are not known")
+
+// blind reports whether the operators' records are known too little for starts to be sent.
+func (p *Planner) blind() bool {
+	_, asOf := p.evacuations()
+	return p.startWindow(clock.Now(), asOf) < minStartWindow
+}
+
+// checkSight resigns if the planner has been blind for long, but not if it was when it stepped up: all entries may be,
+// and the workers' leases have to be renewed.
+func (ap *activePlanner) checkSight() {
+	now := clock.Now()
+	switch {
+	case !ap.blind():
+		ap.sighted, ap.blindSince = true, 0
+	case ap.blindSince == 0:
+		ap.blindSince = now
+	case ap.sighted && now.Sub(ap.blindSince) > maxBlind && now.Sub(ap.Follower.CaughtUpAt()) < maxReadAge:
+		ap.Log.Warn().Msg("Resigning, as the operators' records can't be read.")
+		ap.giveUp()
+	}
+}
+
 // tellEvacuation returns what a call tells a worker's agent of the evacuation of its zone.
 func (ap *activePlanner) tellEvacuation(w *worker, e workflow.Evacuations) *pb.Evacuation {
 	if ap.Evacuations == nil {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -29,7 +29,7 @@
 // returns the members of these runs.
 func (ap *activePlanner) plan() []*member {
 	view, idx := ap.buildView(time.Now())
-	if _, asOf := ap.evacuations(); len(view.Waiting) == 0 || ap.startWindow(clock.Now(), asOf) < minStartWindow {
+	if len(view.Waiting) == 0 || ap.blind() {
 		return nil
 	}
 	var next schedule.Plan
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -181,10 +181,13 @@
 func (p *Planner) plannerGone(ctx context.Context, seen clusterstate.Planner, seenAt clock.Instant) (gone bool, due time.Duration) {
 	since := clock.Since(seenAt)
 	turn := newTurn(p.rank(seen.Epoch))
+	if p.blind() {
+		turn.delay += blindDelay
+	}
 	switch {
 	case p.Rules() == nil, !p.evacuationsKnown():
 		return false, standbyPollInterval
-	case seen.Name == p.Name && seen.Incarnation != p.Incarnation:
+	case seen.Name == p.Name && seen.Incarnation != p.Incarnation && !p.blind():
 		return true, 0 // It was an earlier incarnation of this process.
 	case seen.Epoch == 0, seen.Resigned: // There never was one, or it resigned.
 		return since >= turn.delay, turn.delay - since
@@ -310,6 +313,7 @@
 	ctx, stop := context.WithCancelCause(ctx)
 	defer stop(nil)
 	active.stepDown = func() { stop(errReplaced) }
+	active.giveUp = func() { stop(errBlind) }
 	go p.watchForFaster(ctx, active.epoch, func(to string) {
 		p.Log.Info().Int64("epoch", active.epoch).Float64("cpu_share", p.CPUShare).Str("to", to).
 			Msg("Handing over to an entry with more processor time.")
