--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -294,6 +294,13 @@
 	l.mu.Unlock()
 }
 
+// restore ends what loseAnswers began.
+func (l *storeLink) restore() {
+	l.mu.Lock()
+	l.disconnected, l.answersLost = false, false
+	l.mu.Unlock()
+}
+
 // checkAnswer blocks until ctx ends if answers are lost.
 func (l *storeLink) checkAnswer(ctx context.Context) error {
 	l.mu.Lock()
--- a/internal/dispatch/evacuation_test.go
+++ b/internal/dispatch/evacuation_test.go
@@ -51,14 +51,21 @@
 	*cluster
 	writer    *journal.Writer
 	mu        sync.Mutex
-	evacuated map[string]time.Time      // When each evacuation was acknowledged, by zone.
-	starts    map[string]map[string]int // By zone and task.
+	evacuated map[string]time.Time // When each evacuation was acknowledged, by zone.
+	starts    map[string]int       // By zone.
+	started   time.Time            // When the first task was started.
 }
 
 func newEvacuationCluster(t *testing.T, entries, workers int) *evacuationCluster {
+	return newEvacuationClusterWith(t, entries, workers, storeDelay)
+}
+
+// newEvacuationClusterWith returns a cluster with the given delay of calls to the journal's store.
+func newEvacuationClusterWith(t *testing.T, entries, workers int, delay time.Duration) *evacuationCluster {
 	c := &evacuationCluster{
-		cluster: newCluster(t, 0, 0), evacuated: make(map[string]time.Time), starts: make(map[string]map[string]int),
+		cluster: newCluster(t, 0, 0), evacuated: make(map[string]time.Time), starts: make(map[string]int),
 	}
+	c.store.Delay = delay
 	c.operators = &standin.Store{Delay: storeDelay}
 	c.writer = &journal.Writer{Store: c.operators.Journal(), Producer: journal.Producer{Name: "operator", Epoch: 1}}
 	go c.writer.Run(c.ctx)
@@ -90,10 +97,10 @@
 		c.t.Error(err)
 	}
 	zone := zoneOf(number)
-	if c.starts[zone] == nil {
-		c.starts[zone] = make(map[string]int)
+	c.starts[zone]++
+	if c.started.IsZero() {
+		c.started = time.Now()
 	}
-	c.starts[zone][task]++
 	if acked, ok := c.evacuated[zone]; ok && time.Since(acked) > evacuationBound {
 		c.t.Errorf("task %s was started on %s in %s %v after the evacuation was acknowledged", task, worker, zone, time.Since(acked))
 	}
@@ -103,11 +110,7 @@
 func (c *evacuationCluster) startsIn(zone string) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	n := 0
-	for _, k := range c.starts[zone] {
-		n += k
-	}
-	return n
+	return c.starts[zone]
 }
 
 // write writes a record of the operators.
@@ -145,12 +148,15 @@
 	var ids []string
 	for i := 0; d > 0; i++ {
 		id := fmt.Sprint("job", time.Now().UnixNano())
-		step := task(0.7, 2)
+		step := task(0.7, 4)
 		queue := "urgent"
 		if i%7 == 0 {
 			step, queue = gang(task(1, 3), 4), "batch"
 		}
-		if c.submitAt(c.entries[len(c.entries)-1], id, "red", queue, step) == nil {
+		c.cluster.mu.Lock()
+		at := c.entries[len(c.entries)-1]
+		c.cluster.mu.Unlock()
+		if c.submitAt(at, id, "red", queue, step) == nil {
 			ids = append(ids, id)
 		}
 		time.Sleep(170 * time.Millisecond)
@@ -172,31 +178,26 @@
 		{name: "planner killed after", after: func(c *evacuationCluster) { c.killPlanner() }},
 		{name: "planner killed in the middle", long: func(c *evacuationCluster) { c.killPlanner() }},
 		{name: "planner that can't read the operators' records", before: func(c *evacuationCluster) {
-			c.planner().operatorsLink.setDisconnected(true)
+			c.planner().operatorsLink.loseAnswers()
 		}},
-		{name: "planner that reads them again after 8 s", before: func(c *evacuationCluster) {
+		{name: "planner that can't read them for 8 s", before: func(c *evacuationCluster) {
 			link := &c.planner().operatorsLink
-			link.setDisconnected(true)
-			go func() {
-				time.Sleep(8 * time.Second)
-				link.setDisconnected(false)
-			}()
+			link.loseAnswers()
+			time.AfterFunc(8*time.Second, link.restore)
 		}},
-		{name: "store silent", after: func(c *evacuationCluster) {
-			c.operators.SetFault(standin.StoreSilent)
-			go func() {
-				time.Sleep(7 * time.Second)
-				c.operators.SetFault(standin.StoreHealthy)
-			}()
+		{name: "no entry can read them for 9 s", before: func(c *evacuationCluster) {
+			for _, e := range c.entries {
+				e.operatorsLink.loseAnswers()
+				time.AfterFunc(9*time.Second, e.operatorsLink.restore)
+			}
 		}},
-		{name: "all of the store silent", after: func(c *evacuationCluster) {
-			c.operators.SetFault(standin.StoreSilent)
-			c.store.SetFault(standin.StoreSilent)
-			go func() {
-				time.Sleep(7 * time.Second)
-				c.store.SetFault(standin.StoreHealthy)
-				c.operators.SetFault(standin.StoreHealthy)
-			}()
+		{name: "store silent for 7 s", before: func(c *evacuationCluster) {
+			for _, e := range c.entries {
+				for _, link := range []*storeLink{&e.storeLink, &e.operatorsLink} {
+					link.loseAnswers()
+					time.AfterFunc(7*time.Second, link.restore)
+				}
+			}
 		}},
 		{name: "history dropped", after: func(c *evacuationCluster) { c.operators.DropHistory(); c.store.DropHistory() }},
 		{name: "planner killed, history dropped", long: func(c *evacuationCluster) {
@@ -300,20 +301,33 @@
 	})
 }
 
-// The zone of a gang's members is evacuated once the gang is claimed, and before its starts are sent. No member starts
-// there, and the gang starts elsewhere whole.
-func TestGangIsWithdrawnWhole(t *testing.T) {
-	withVirtualTime(t, func(t *testing.T) {
-		c := newEvacuationCluster(t, 1, 4)
-		time.Sleep(3 * time.Second)
-		c.evacuate("zone-0")
-		c.submit("gang", "red", "batch", gang(task(2, 8), 2))
-		c.await(10*time.Second, shop.Done, "gang")
-		c.checkStartedOnce("gang.0.0.0", "gang.0.0.1")
-		if n := c.startsIn("zone-0"); n != 0 {
-			t.Errorf("%d starts in the evacuated zone", n)
-		}
-	})
+// A zone is evacuated while a gang is about to be claimed, is being claimed, or has started. If it has not started, it
+// starts elsewhere whole, and no member does before.
+func TestClaimedStartsAreWithdrawn(t *testing.T) {
+	for after := time.Duration(0); after < 500*time.Millisecond; after += 50 * time.Millisecond {
+		t.Run(fmt.Sprint("after ", after), func(t *testing.T) {
+			withVirtualTime(t, func(t *testing.T) {
+				c := newEvacuationClusterWith(t, 2, 8, 150*time.Millisecond)
+				checker := c.watchRuns()
+				time.Sleep(4 * time.Second)
+				c.submit("gang", "red", "urgent", gang(task(2, 8), 3))
+				time.Sleep(after)
+				c.evacuate("zone-0")
+				knownAt := time.Now().Add(2 * storeDelay)
+				c.await(20*time.Second, shop.Done, "gang")
+				c.mu.Lock()
+				late := c.started.After(knownAt)
+				c.mu.Unlock()
+				if late {
+					c.checkStartedOnce("gang.0.0.0", "gang.0.0.1", "gang.0.0.2")
+					if n := c.startsIn("zone-0"); n != 0 {
+						t.Errorf("%d starts in the evacuated zone", n)
+					}
+				}
+				c.reportViolations(checker)
+			})
+		})
+	}
 }
 
 // A planner is replaced, and its order is held up until the zone of the worker is evacuated.
