--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -29,7 +29,7 @@
 // returns the members of these runs.
 func (ap *activePlanner) plan() []*member {
 	view, idx := ap.buildView(time.Now())
-	if len(view.Waiting) == 0 {
+	if len(view.Waiting) == 0 || ap.blind() {
 		return nil
 	}
 	var next schedule.Plan
@@ -118,6 +118,7 @@
 func (ap *activePlanner) appendWorkers(v *schedule.View, idx *viewIndex) map[*worker]int {
 	now := clock.Now()
 	ap.learn(now)
+	evacuations, _ := ap.evacuations()
 	indices := make(map[*worker]int)
 	for _, w := range ap.sortedWorkers() {
 		if w.lifetime == "" {
@@ -127,7 +128,7 @@
 		idx.workers = append(idx.workers, w)
 		v.Workers = append(v.Workers, schedule.Worker{
 			Worker:      w.hardware,
-			Schedulable: !w.draining && !w.unreachable && now.Sub(w.receivedAt) < maxReportAge,
+			Schedulable: !w.draining && !w.unreachable && now.Sub(w.receivedAt) < maxReportAge && !evacuations.Evacuated(w.zone),
 			Paused:      now < w.pausedUntil,
 			Pace:        ap.learner.paces.Of(w.machineName()),
 			Cold:        max(0, w.coldUntil.Sub(now)),
