check: a configuration of the users' platform is checked before it is sent

Cause: operators learnt of an entry that can never match, or of guarantees that don't fit, only when jobs were refused or waited.

--- a/cmd/sniperill/check.go
+++ b/cmd/sniperill/check.go
@@ -20,11 +20,18 @@
     sniperill check --settings entry entry.json
     sniperill check --config FOLDER
 
+On the users' platform, it checks a configuration before it is sent: mistakes, entries
+that can never match, limits that contradict each other, and what differs from the
+version in force:
+
+    sniperill check --rules new.json [--in-force old.json] [--workers workers.json]
+
 Whether all guarantees fit on the hardware together is checked by "apply", which
-knows the hardware. Exits with status 1 when there is a mistake.`
+knows the hardware. Exits with status 1 when there is a mistake, and with status 2
+when a file could not be read.`
 
 var (
-	errCheckNothing = errors.New("check: requires --settings entry|agent|stand-in|platform FILE or --config FOLDER")
+	errCheckNothing = errors.New("check: requires --settings entry|agent|stand-in|platform FILE, --config FOLDER or --rules FILE")
 	errCheckRole    = errors.New("check: --settings must be entry, agent, stand-in or platform")
 )
 
@@ -37,6 +44,9 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Usage: "role that the settings FILE is for: entry, agent, stand-in or platform (any process there)"},
 			&cli.StringFlag{Name: "config", Usage: "configuration folder"},
+			&cli.StringFlag{Name: "rules", Usage: "configuration of the users' platform"},
+			&cli.StringFlag{Name: "in-force", Usage: "the platform's configuration that --rules will replace"},
+			&cli.StringFlag{Name: "workers", Usage: "JSON list of the platform's workers, as in their heartbeats"},
 			jsonFlag(),
 		},
 		Action: runCheck,
@@ -51,6 +61,9 @@
 
 func runCheck(_ context.Context, c *cli.Command) error {
 	role, config := c.String("settings"), c.String("config")
+	if c.String("rules") != "" {
+		return checkRules(c)
+	}
 	if role == "" && config == "" {
 		return errCheckNothing
 	}
--- /dev/null
+++ b/cmd/sniperill/checkrules_test.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const rulesInForce = `{"version": 7, "services": [{"name": "desk"}],
+ "routes": [{"name": "quotes", "host": "desk.example", "path_prefix": "/quotes/", "service": "desk", "stretch": 1.5, "target_duration_ms": 250, "timeout_ms": 3000}],
+ "tenants": [{"name": "north", "api_keys": ["b9wu3fexd9", "89anu6wsjn"], "guaranteed": {"gpus": 8}}]}`
+
+func TestCheckRules(t *testing.T) {
+	folder := t.TempDir()
+	write := func(name, text string) string {
+		file := filepath.Join(folder, name)
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return file
+	}
+	inForce := write("in-force.json", rulesInForce)
+	newer := strings.Replace(rulesInForce, `"version": 7`, `"version": 8`, 1)
+	tests := []struct {
+		name, text       string
+		status           int
+		findings, change string // A part of the output.
+	}{
+		{"sound, a key ends", strings.Replace(newer, `, "89anu6wsjn"`, "", 1), exitDone, "", "teams.north.keys"},
+		{"a service without workers", strings.Replace(newer, `"service": "desk"`, `"service": "lab"`, 1), exitError, "queues.quotes.service", "queues.quotes.service"},
+		{"not JSON", `{"version": 8,`, exitError, "", ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			out, err := runCommand(t, "check", "--json", "--rules", write("new.json", tt.text), "--in-force", inForce)
+			if got := exitStatus(err); got != tt.status {
+				t.Errorf("error %v: status %d, want %d", err, got, tt.status)
+			}
+			if tt.change == "" {
+				return
+			}
+			var result rulesResult
+			if err := json.Unmarshal([]byte(out), &result); err != nil {
+				t.Fatal(err)
+			}
+			if !strings.Contains(out, tt.findings) || len(result.Changes) != 1 || result.Changes[0].Field != tt.change {
+				t.Errorf("output %s, want a finding at %q and one change of %q", out, tt.findings, tt.change)
+			}
+		})
+	}
+	if _, err := runCommand(t, "check", "--rules", filepath.Join(folder, "missing.json")); exitStatus(err) != exitNotRun {
+		t.Errorf("error %v for a missing file: status %d, want %d", err, exitStatus(err), exitNotRun)
+	}
+}
--- a/cmd/sniperill/main.go
+++ b/cmd/sniperill/main.go
@@ -20,7 +20,7 @@
 requests and jobs of both order desks, and prints the outcome of each.
 
 The exit status distinguishes outcomes: 0 done, 1 an error, 2 not run (it did not
-run and never will), 3 may have run (it is unknown whether it ran).`
+run and never will; what "check" was to read could not be read), 3 may have run (it is unknown whether it ran).`
 
 // Exit statuses.
 const (
@@ -58,7 +58,7 @@
 		return exitDone
 	case errors.Is(err, shop.ErrMayHaveRun):
 		return exitMayHaveRun
-	case errors.Is(err, shop.ErrNotRun):
+	case errors.Is(err, shop.ErrNotRun), errors.Is(err, errNotChecked):
 		return exitNotRun
 	default:
 		return exitError
--- a/cmd/sniperill/main_test.go
+++ b/cmd/sniperill/main_test.go
@@ -41,6 +41,7 @@
 		{shop.ErrNotFound, 1},
 		{fmt.Errorf("x: %w", shop.ErrNotRun), 2},
 		{fmt.Errorf("x: %w", shop.ErrMayHaveRun), 3},
+		{fmt.Errorf("%w: no such file", errNotChecked), 2},
 		{errors.Join(shop.ErrNotRun, shop.ErrMayHaveRun), 3},
 	}
 	for _, tt := range tests {
