--- a/internal/dispatch/active.go
+++ b/internal/dispatch/active.go
@@ -39,6 +39,7 @@
 	startedAt clock.Instant
 	writer    *journal.Writer
 	stepDown  func() // Stops run, as another planner has stepped up.
+	giveUp    func() // Stops run with errBlind.
 	replaced  atomic.Bool
 	wakeup    chan struct{}
 
@@ -51,6 +52,12 @@
 	members       map[string]*member // By task.
 	unstored      []*member          // Claimed, but the store has rejected the records of their jobs.
 	lastHeartbeat clock.Instant      // When the newest heartbeat was written.
+	learner       learner
+	// evacuatedZones are the evacuated zones as of the last pass.
+	evacuatedZones map[string]evacuatedZone
+	sighted        bool          // The operators' records were known in this reign.
+	blindSince     clock.Instant // Since when they are not; zero if they are.
+	unbacked       int           // By how many accelerators the guarantees exceeded what is left outside these zones.
 
 	group errgroup.Group
 	ctx   context.Context // Of the calls to agents, also to those that register later.
@@ -67,6 +74,7 @@
 		},
 		changedJobs: make(map[string]bool), jobs: make(map[string]*job),
 		workers: make(map[string]*worker), members: make(map[string]*member),
+		learner: learner{runs: make(map[*member]*runProgress), classes: make(map[string]int)},
 	}
 }
 
@@ -155,6 +163,7 @@
 	stepUps.Inc()
 	ap.Log.Info().Int64("epoch", ap.epoch).Int("jobs", len(ap.jobs)).Int("agents", len(ap.workers)).
 		Int("tasks", len(ap.members)).Interface("builds", ap.builds()).Msg("Planning.")
+	defer forgetEvacuations()
 	for {
 		if err := ap.runPass(ctx); err != nil {
 			return err
@@ -215,6 +224,7 @@
 func (ap *activePlanner) loadState() {
 	ap.mu.Lock()
 	defer ap.mu.Unlock()
+	ap.learner.load(ap.ClusterState.Paces())
 	for _, a := range ap.ClusterState.Agents() {
 		ap.addWorker(a)
 	}
@@ -249,6 +259,8 @@
 	ap.mu.Lock()
 	ap.applyChanges()
 	ap.checkMembers()
+	ap.noteEvacuations()
+	ap.checkSight()
 	started := append(ap.unstored, ap.plan()...)
 	b := ap.collectBatch()
 	ap.mu.Unlock()
@@ -379,6 +391,7 @@
 		ap.lastHeartbeat = now
 		b.records = append(b.records, clusterstate.HeartbeatRecord(ap.epoch))
 	}
+	b.records = append(b.records, ap.paceRecords(clock.Now())...)
 	for _, w := range ap.workers {
 		if w.appliedEnds.number > w.storedEnds.number || w.appliedEnds.lifetime != w.storedEnds.lifetime {
 			b.storedEnds[w] = w.appliedEnds
