--- a/internal/dispatch/active.go
+++ b/internal/dispatch/active.go
@@ -39,6 +39,7 @@
 	startedAt clock.Instant
 	writer    *journal.Writer
 	stepDown  func() // Stops run, as another planner has stepped up.
+	giveUp    func() // Stops run with errBlind.
 	replaced  atomic.Bool
 	wakeup    chan struct{}
 
@@ -52,6 +53,11 @@
 	unstored      []*member          // Claimed, but the store has rejected the records of their jobs.
 	lastHeartbeat clock.Instant      // When the newest heartbeat was written.
 	learner       learner
+	// evacuatedZones are the evacuated zones as of the last pass.
+	evacuatedZones map[string]evacuatedZone
+	sighted        bool          // The operators' records were known in this reign.
+	blindSince     clock.Instant // Since when they are not; zero if they are.
+	unbacked       int           // By how many accelerators the guarantees exceeded what is left outside these zones.
 
 	group errgroup.Group
 	ctx   context.Context // Of the calls to agents, also to those that register later.
@@ -157,6 +163,7 @@
 	stepUps.Inc()
 	ap.Log.Info().Int64("epoch", ap.epoch).Int("jobs", len(ap.jobs)).Int("agents", len(ap.workers)).
 		Int("tasks", len(ap.members)).Interface("builds", ap.builds()).Msg("Planning.")
+	defer forgetEvacuations()
 	for {
 		if err := ap.runPass(ctx); err != nil {
 			return err
@@ -252,6 +259,8 @@
 	ap.mu.Lock()
 	ap.applyChanges()
 	ap.checkMembers()
+	ap.noteEvacuations()
+	ap.checkSight()
 	started := append(ap.unstored, ap.plan()...)
 	b := ap.collectBatch()
 	ap.mu.Unlock()
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -29,7 +29,7 @@
 // returns the members of these runs.
 func (ap *activePlanner) plan() []*member {
 	view, idx := ap.buildView(time.Now())
-	if len(view.Waiting) == 0 {
+	if len(view.Waiting) == 0 || ap.blind() {
 		return nil
 	}
 	var next schedule.Plan
@@ -118,6 +118,7 @@
 func (ap *activePlanner) appendWorkers(v *schedule.View, idx *viewIndex) map[*worker]int {
 	now := clock.Now()
 	ap.learn(now)
+	evacuations, _ := ap.evacuations()
 	indices := make(map[*worker]int)
 	for _, w := range ap.sortedWorkers() {
 		if w.lifetime == "" {
@@ -127,7 +128,7 @@
 		idx.workers = append(idx.workers, w)
 		v.Workers = append(v.Workers, schedule.Worker{
 			Worker:      w.hardware,
-			Schedulable: !w.draining && !w.unreachable && now.Sub(w.receivedAt) < maxReportAge,
+			Schedulable: !w.draining && !w.unreachable && now.Sub(w.receivedAt) < maxReportAge && !evacuations.Evacuated(w.zone),
 			Paused:      now < w.pausedUntil,
 			Pace:        ap.learner.paces.Of(w.machineName()),
 			Cold:        max(0, w.coldUntil.Sub(now)),
@@ -164,29 +165,6 @@
 	}
 }
 
-// lostAndRemaining estimates the run time that a stop loses and the run time that remains.
-func (ap *activePlanner) lostAndRemaining(m *member) (lost, remaining time.Duration) {
-	estimate := m.step().Estimate
-	startedAt := m.job.unitState(m.key).startedAt
-	ran := clock.Since(startedAt)
-	if startedAt == 0 {
-		ran = estimate * time.Duration(m.percent) / 100
-	}
-	lost = ran
-	if m.step().Checkpoints {
-		lost = min(lost, ap.CheckpointInterval)
-	}
-	switch {
-	case m.percent > 0 && startedAt != 0: // The percentage may be a second old.
-		remaining = m.percentAt.Sub(startedAt)*100/time.Duration(m.percent) - ran
-	case m.percent > 0:
-		remaining = ran * time.Duration(100-m.percent) / time.Duration(m.percent)
-	default:
-		remaining = estimate - ran
-	}
-	return lost, max(0, remaining)
-}
-
 func (ap *activePlanner) appendWaiting(v *schedule.View, idx *viewIndex, indices map[*worker]int) {
 	byLifetime := make(map[string]int)
 	for w, i := range indices {
