schedule: urgent work makes room on workers that end it in time

Cause: who gave way for an urgent unit was chosen by what that threw away, so that urgent gangs got the slow workers, where work had come less far, and a free slow worker was taken while fast ones ran patient work. Change: an urgent unit that would miss its objective on a worker of that pace first makes room on those where it wouldn't, at a bounded cost and for one second at most.

--- a/internal/schedule/pace.go
+++ b/internal/schedule/pace.go
@@ -22,9 +22,11 @@
 	if known > 0 {
 		mean = sum / float64(known)
 	}
+	p.paces = make([]float64, len(p.Workers))
 	p.classes = make([]int, len(p.Workers))
 	for i := range p.Workers {
-		p.classes[i] = pace.Class(cmp.Or(p.Workers[i].Pace, mean))
+		p.paces[i] = cmp.Or(p.Workers[i].Pace, mean)
+		p.classes[i] = pace.Class(p.paces[i])
 		p.uneven = p.uneven || p.classes[i] != p.classes[0]
 	}
 }
@@ -106,3 +108,44 @@
 	}
 	return class, waste
 }
+
+// maxFastWait is how long urgent work that could start waits for faster workers to be freed. Users expect guaranteed
+// work to start within 2.7 s.
+const maxFastWait = time.Second
+
+// maxPaceInTime returns the slowest pace at which an urgent unit that starts now ends by its objective. It returns 0
+// if that excludes no worker, or all of them.
+func (p *planner) maxPaceInTime(w *WaitingUnit) float64 {
+	if !p.uneven || w.Priority != 0 || w.Step.Endless || w.Estimate <= 0 || p.Now.Sub(w.ReadySince) > maxFastWait {
+		return 0
+	}
+	limit := w.Objective.Sub(p.Now).Seconds() / w.Estimate.Seconds()
+	slow, fast := false, false
+	for i := range p.Workers {
+		if p.Workers[i].open() && p.Workers[i].Service == w.Service {
+			slow = slow || p.paces[i] > limit
+			fast = fast || p.paces[i] <= limit
+		}
+	}
+	if !slow || !fast {
+		return 0
+	}
+	return limit
+}
+
+// preferFaster returns the workers on which an urgent unit will start once others have given way there, if it ends in
+// time there but not on the workers of the placement that is free for it. The cost is bounded even within a guarantee,
+// as the unit could start without any.
+func (p *planner) preferFaster(i int, placement []int) []int {
+	w := &p.Waiting[i]
+	limit := p.maxPaceInTime(w)
+	if limit == 0 || !slices.ContainsFunc(placement, func(at int) bool { return p.paces[at] > limit }) {
+		return nil
+	}
+	p.maxPace = limit
+	defer func() { p.maxPace = 0 }()
+	if p.reservationFits(w) {
+		return w.ReservedWorkers
+	}
+	return p.preemptWithin(i, maxPreemptionCostRatio*w.coreSeconds())
+}
--- a/internal/schedule/plan.go
+++ b/internal/schedule/plan.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -64,6 +65,8 @@
 	spreadCounts []map[int]int // View.SpreadCounts plus the tasks that this plan places.
 	classes      []int         // Of the workers, by their paces.
 	uneven       bool          // The workers are of several classes.
+	paces        []float64     // Of the workers.
+	maxPace      float64       // The unit that is being planned uses no slower workers; zero for no limit.
 }
 
 // headroom counts accelerators of a service's schedulable workers: those that are unallocated, and
@@ -216,6 +219,11 @@
 	if placement == nil {
 		placement = p.backfill(w)
 	}
+	if faster := p.preferFaster(i, placement); faster != nil {
+		p.plan.Reservations = append(p.plan.Reservations, Reservation{WaitingIndex: i, Workers: faster})
+		p.allocate(w, faster)
+		return
+	}
 	if placement != nil {
 		p.allocate(w, placement)
 		p.plan.Starts = append(p.plan.Starts, Start{WaitingIndex: i, Workers: placement})
@@ -305,8 +313,26 @@
 	if p.reservationFits(w) {
 		return w.ReservedWorkers
 	}
-	placement, victims, cost := p.cheapestPreemption(w, guaranteed)
-	if placement == nil || !guaranteed && cost > maxPreemptionCostRatio*w.coreSeconds() {
+	maxCost := maxPreemptionCostRatio * w.coreSeconds()
+	if p.maxPace = p.maxPaceInTime(w); p.maxPace != 0 {
+		placement := p.preemptWithin(i, maxCost)
+		p.maxPace = 0
+		if placement != nil {
+			return placement
+		}
+	}
+	if guaranteed {
+		maxCost = math.Inf(1)
+	}
+	return p.preemptWithin(i, maxCost)
+}
+
+// preemptWithin preempts others for an urgent unit if that costs at most so many core seconds, and returns the workers
+// on which it will start.
+func (p *planner) preemptWithin(i int, maxCost float64) []int {
+	w := &p.Waiting[i]
+	placement, victims, cost := p.cheapestPreemption(w, p.waitingGuaranteed[i])
+	if placement == nil || cost > maxCost {
 		return nil
 	}
 	for _, v := range victims {
