pace: estimates begin anew each time, so that their errors don't add up

Cause: each estimate began from the one before, and took the lower of two medians. Change: it begins from what was stored, trusts little known machines less, leaves a machine's own readings out of the work that it is compared with in small groups, and takes the lower median in the last round only.

--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -27,7 +27,7 @@
 	// Window is the time for which a reading counts.
 	Window = 10 * time.Minute
 	// MaxGroups limits the groups whose readings are kept. The one without a new reading for longest is dropped first.
-	MaxGroups = 128
+	MaxGroups = 96
 	// maxPerMachine is the number of readings of a machine that count, the newest ones, so that a machine that was
 	// slow for a while isn't taken as slow for long.
 	maxPerMachine = 25
@@ -39,8 +39,10 @@
 	// maxDeviation bounds what one machine adds to the spread of the paces. Some tasks take several times as
 	// long as their siblings, which says nothing about their machines.
 	maxDeviation = 0.7
-	// rounds is how often work and paces are estimated in turn, starting from what was known before.
-	rounds = 2
+	// rounds is how often work and paces are estimated in turn. Changes are small after the third time.
+	rounds = 3
+	// maxOwnShare is the number of a group's readings from which on a machine's own one changes their median little.
+	maxOwnShare = 16
 )
 
 // Known is what is known of a machine.
@@ -115,17 +117,23 @@
 		at    clock.Instant
 		value float64
 	}
-	known := maps.Clone(p.known)
-	if known == nil {
-		known = make(map[string]Known)
-	}
-	for range rounds {
+	// It begins anew each time: what groups of machines that share no work with others add to each other's paces
+	// would otherwise add up.
+	known := p.stored
+	for round := range rounds {
 		byMachine := make(map[string][]deviation)
 		for _, name := range names {
 			g := p.groups[name]
-			work := g.logWork(known)
+			work := g.logWork(p.shrunk(known))
+			ofAll, _ := work.without("")
 			for _, r := range g {
-				byMachine[r.Machine] = append(byMachine[r.Machine], deviation{r.At, r.log - work})
+				w, ok := ofAll, true
+				if len(g) <= maxOwnShare {
+					w, ok = work.without(r.Machine)
+				}
+				if ok {
+					byMachine[r.Machine] = append(byMachine[r.Machine], deviation{r.At, r.log - w})
+				}
 			}
 		}
 		next := maps.Clone(p.stored)
@@ -141,7 +149,11 @@
 			for range min(p.stored[machine].Readings, maxPerMachine-len(values)) {
 				values = append(values, p.stored[machine].LogPace)
 			}
-			next[machine] = Known{lowerMedian(values), len(values)}
+			lower, upper := medians(values)
+			if round == rounds-1 {
+				upper = lower // Before, it would add up.
+			}
+			next[machine] = Known{(lower + upper) / 2, len(values)}
 		}
 		known = next
 	}
@@ -154,25 +166,70 @@
 	return slices.ContainsFunc(g, func(r reading) bool { return r.Machine != g[0].Machine })
 }
 
-// logWork returns the logarithm of the run time of the group's tasks on a machine of median speed. Machines that
-// are known better count for more.
-func (g group) logWork(known map[string]Known) float64 {
-	var values []float64
+// shrunk returns the logarithms of the paces as far as their readings can be trusted.
+func (p Paces) shrunk(known map[string]Known) func(machine string) (logPace float64, weight int) {
+	return func(machine string) (float64, int) {
+		k := known[machine]
+		if k.Readings == 0 || p.spread == 0 {
+			return 0, 1
+		}
+		return k.LogPace * p.spread / (p.spread + noise*noise/float64(k.Readings)), 1 + min(k.Readings, maxKnownWeight)
+	}
+}
+
+// work is how long the tasks of a group take on a machine of median speed, as each of its readings tells.
+type work []workReading
+
+type workReading struct {
+	machine string
+	log     float64 // Of the time in seconds.
+	weight  int     // Machines that are known better count for more.
+}
+
+// logWork returns the group's work, sorted.
+func (g group) logWork(paceOf func(machine string) (logPace float64, weight int)) work {
+	out := make(work, 0, len(g))
 	for _, r := range g {
-		k := known[r.Machine]
-		for range 1 + min(k.Readings, maxKnownWeight) {
-			values = append(values, r.log-k.LogPace)
+		logPace, weight := paceOf(r.Machine)
+		out = append(out, workReading{r.Machine, r.log - logPace, weight})
+	}
+	slices.SortFunc(out, func(a, b workReading) int { return cmp.Compare(a.log, b.log) })
+	return out
+}
+
+// without returns the median of the work as the readings of all machines but one tell, or false if there are none. A
+// machine's pace would otherwise confirm itself through the work, and move away round after round.
+func (w work) without(machine string) (log float64, ok bool) {
+	total := 0
+	for _, r := range w {
+		if r.machine != machine {
+			total += r.weight
 		}
 	}
-	slices.Sort(values)
-	return (values[(len(values)-1)/2] + values[len(values)/2]) / 2
+	if total == 0 {
+		return 0, false
+	}
+	below, lower := 0, math.NaN()
+	for _, r := range w {
+		if r.machine == machine {
+			continue
+		}
+		below += r.weight
+		if math.IsNaN(lower) && 2*below >= total {
+			lower = r.log
+		}
+		if 2*below > total {
+			return (lower + r.log) / 2, true
+		}
+	}
+	return 0, false
 }
 
-// lowerMedian returns the median, and of two the lower one: a task may take several times as long as its siblings,
-// but none is much shorter.
-func lowerMedian(values []float64) float64 {
+// medians returns the lower and the upper median. The lower one counts: a task may take several times as long as its
+// siblings, but none is much shorter.
+func medians(values []float64) (lower, upper float64) {
 	values = slices.Sorted(slices.Values(values))
-	return values[(len(values)-1)/2]
+	return values[(len(values)-1)/2], values[len(values)/2]
 }
 
 // centred returns the paces relative to the median one.
@@ -184,7 +241,7 @@
 	for _, k := range known {
 		values = append(values, k.LogPace)
 	}
-	median := lowerMedian(values)
+	median, _ := medians(values)
 	for machine, k := range known {
 		known[machine] = Known{k.LogPace - median, k.Readings}
 	}
@@ -218,15 +275,6 @@
 // Known returns what is known of each machine.
 func (p Paces) Known() map[string]Known { return maps.Clone(p.known) }
 
-// Work returns how long a task of a group takes on a machine of median speed, or 0 if it has no reading.
-func (p Paces) Work(name string) time.Duration {
-	g, ok := p.groups[name]
-	if !ok {
-		return 0
-	}
-	return time.Duration(math.Exp(g.logWork(p.known)) * float64(time.Second))
-}
-
 // classWidth is the difference between the logarithms of the paces of two classes of machines. Paces within half
 // of it, 15 %, count as equal: siblings differ by as much on one machine.
 const classWidth = 0.2
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -177,3 +177,30 @@
 		p.With(f.now, f.runJob(20)...)
 	}
 }
+
+// Two machines share jobs with each other only, which contradict each other, so that each takes the lower of its two
+// values. What they are off by must not add up, round after round, as the readings are renewed.
+func TestPacesDoNotDrift(t *testing.T) {
+	const short, long = 8 * time.Second, 12 * time.Second
+	readings := []pace.Reading{
+		{Group: "a", Run: "a0", Machine: "m-0", RunTime: short}, {Group: "a", Run: "a1", Machine: "m-1", RunTime: long},
+		{Group: "b", Run: "b0", Machine: "m-0", RunTime: long}, {Group: "b", Run: "b1", Machine: "m-1", RunTime: short},
+	}
+	for i := range 6 {
+		readings = append(readings, pace.Reading{Group: "c", Run: fmt.Sprint("c", i), Machine: machineName(2 + i), RunTime: short})
+	}
+	var p pace.Paces
+	now := clock.Instant(1)
+	for range 100 {
+		now = now.Add(200 * time.Millisecond)
+		for i := range readings {
+			readings[i].At = now
+		}
+		p = p.With(now, readings...)
+	}
+	for i := range 8 {
+		if at := p.Of(machineName(i)); at < 0.66 || at > 1.5 {
+			t.Errorf("machine %d has pace %.3f, none has tasks that differ by more than half", i, at)
+		}
+	}
+}
