--- a/internal/dispatch/evacuation.go
+++ b/internal/dispatch/evacuation.go
@@ -128,6 +128,9 @@
 // noteEvacuations logs evacuations that begin or end, and updates their metrics.
 func (ap *activePlanner) noteEvacuations() {
 	e, _ := ap.evacuations()
+	if !e.Any() && len(ap.evacuatedZones) == 0 {
+		return
+	}
 	zones := make(map[string]evacuatedZone)
 	for _, zone := range e.Zones() {
 		zones[zone] = evacuatedZone{}
