entry: operators evacuate a zone by command, and take it back

Cause: an operator of the product's own deployments could only drain single workers, for good. Change: the configuration lists evacuated zones (left out while there are none); sniperill evacuate [--end] ZONE changes it, and other changes keep it. Planner, router and packing of guarantees take no worker there, agents refuse holds and requests as not run, show workers tells what is left.

--- a/cmd/sniperill/apply.go
+++ b/cmd/sniperill/apply.go
@@ -59,6 +59,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	folder.Config.EvacuatedZones = current.EvacuatedZones // An apply keeps them.
 	out := applyResult{Base: current.Version, DryRun: c.Bool("dry-run"), Changes: shop.Diff(current.Config, folder.Config)}
 	if c.IsSet("base") {
 		out.Base = c.Uint64("base")
--- a/cmd/sniperill/diff.go
+++ b/cmd/sniperill/diff.go
@@ -40,6 +40,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	folder.Config.EvacuatedZones = current.EvacuatedZones // An apply keeps them.
 	changes := shop.Diff(current.Config, folder.Config)
 	if c.Bool("json") {
 		return printJSON(c.Writer, diffResult{current.Version, append(shop.ChangeList{}, changes...)})
--- a/cmd/sniperill/main.go
+++ b/cmd/sniperill/main.go
@@ -74,7 +74,7 @@
 		Commands: []*cli.Command{
 			tryCommand(), upCommand(),
 			entryCommand(), agentCommand(), standInCommand(), checkCommand(), keysCommand(),
-			applyCommand(), diffCommand(), changeCommand(), showCommand(), drainCommand(),
+			applyCommand(), diffCommand(), changeCommand(), showCommand(), drainCommand(), evacuateCommand(),
 			submitCommand(), waitCommand(), cancelCommand(), callCommand(),
 			platformCommand(), explainCommand(),
 		},
--- a/internal/agent/configuration.go
+++ b/internal/agent/configuration.go
@@ -42,7 +42,10 @@
 	a.config.data = data
 	a.config.Config = c
 	a.applyBackend(c)
-	a.Log.Info().Uint64("version", c.Version).Msg("Configuration applied.")
+	evacuated := c.Evacuates(a.Place)
+	a.allocator.SetEvacuated(evacuated)
+	a.table.SetEvacuated(evacuated)
+	a.Log.Info().Uint64("version", c.Version).Bool("evacuated", evacuated).Msg("Configuration applied.")
 }
 
 // applyBackend applies the configured limits of the backend server. It keeps the same
--- a/internal/deployment/metrics.go
+++ b/internal/deployment/metrics.go
@@ -11,7 +11,7 @@
 )
 
 // healthStates are the health states of a worker, as "show workers" prints them.
-var healthStates = []string{"alive", "suspect", "dead", "leaving"}
+var healthStates = []string{"alive", "suspect", "dead", "leaving", "evacuated"}
 
 // entryMetrics returns the metrics that are computed from the state of an entry when they
 // are read.
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -38,6 +38,7 @@
 // the other entries.
 type membership struct {
 	lastView atomic.Pointer[roster.View]
+	routerMu sync.Mutex // Held while the router gets what is newest.
 
 	mu sync.Mutex
 	// agentUpdate is closed when there is something new to tell the agents.
@@ -123,12 +124,22 @@
 		}
 		e.notifyAgents()
 	}
+	e.updateRouter()
+	e.planner.wake()
+}
+
+// updateRouter passes the agents on to the router.
+func (e *Entry) updateRouter() {
+	e.membership.routerMu.Lock()
+	defer e.membership.routerMu.Unlock()
+	view, config := e.roster.View(), e.Config()
 	agents := make(request.AgentList, 0, len(view.Agents))
 	for _, m := range view.Agents {
-		agents = append(agents, routerAgent(m))
+		a := routerAgent(m)
+		a.Leaving = a.Leaving || config != nil && config.Evacuates(workerOf(m).Place)
+		agents = append(agents, a)
 	}
 	e.router.Update(agents)
-	e.planner.wake()
 }
 
 func routerAgent(m *roster.Member) request.Agent {
@@ -250,8 +261,10 @@
 		return
 	}
 	e.updateAdmission(config)
+	e.updateRouter()
 	e.notifyAgents()
-	e.Logger.Info().Uint64("version", config.Version).Msg("Configuration applied.")
+	e.Logger.Info().Uint64("version", config.Version).Strs("evacuated_zones", config.EvacuatedZones).
+		Msg("Configuration applied.")
 	e.planner.wake()
 }
 
--- a/internal/entry/operate.go
+++ b/internal/entry/operate.go
@@ -20,9 +20,17 @@
 type ConflictError = platform.ConflictError
 
 // Apply checks a configuration and publishes it, provided that the current version is
-// still base. A dry run only checks it.
+// still base. A dry run only checks it. Evacuated zones stay so.
 func (e *Entry) Apply(ctx context.Context, c shop.Config, base uint64, author string, dryRun bool) (uint64, error) {
 	e.init()
+	if current := e.Config(); current != nil && current.Version == base {
+		c.EvacuatedZones = current.EvacuatedZones // A folder doesn't have them.
+	}
+	return e.publish(ctx, c, base, author, dryRun)
+}
+
+// publish checks a configuration and publishes it, unless it is a dry run.
+func (e *Entry) publish(ctx context.Context, c shop.Config, base uint64, author string, dryRun bool) (uint64, error) {
 	c = c.WithDefaults()
 	if err := c.Validate().Err(); err != nil {
 		return 0, fmt.Errorf("entry.Apply: %w", err)
@@ -68,7 +76,7 @@
 
 // Change sets or removes one object of the configuration.
 type Change struct {
-	// Kind is "team", "class", "backend-server" or "policy".
+	// Kind is "team", "class", "backend-server", "policy" or "evacuation", whose name is the zone.
 	Kind string
 	Name string
 	// Object is the new value as JSON; empty removes the object.
@@ -92,7 +100,7 @@
 	if err != nil {
 		return 0, fmt.Errorf("entry.Change: %w", err)
 	}
-	return e.Apply(ctx, next, c.Base, c.Author, false)
+	return e.publish(ctx, next, c.Base, c.Author, false)
 }
 
 func (e *Entry) configAuthor() string {
@@ -114,14 +122,28 @@
 		config.BackendServers, err = withObjectChange(config.BackendServers, c, func(b shop.BackendServer) string { return b.Name })
 	case "policy":
 		err = decodeObject(c, &config.Policy)
+	case "evacuation":
+		config.EvacuatedZones, err = withEvacuation(config.EvacuatedZones, c)
 	default:
 		var l shop.ProblemList
-		l.Add("kind", c.Kind, "must be team, class, backend-server or policy")
+		l.Add("kind", c.Kind, "must be team, class, backend-server, policy or evacuation")
 		err = l
 	}
 	return config, err
 }
 
+// withEvacuation returns the evacuated zones with one added, or taken back.
+func withEvacuation(zones []string, c Change) ([]string, error) {
+	i := slices.Index(zones, c.Name)
+	switch {
+	case len(c.Object) > 0:
+		return append(slices.Clone(zones), c.Name), decodeObject(c, &struct{}{})
+	case i < 0:
+		return nil, fmt.Errorf("evacuation of %q: %w", c.Name, shop.ErrNotFound)
+	}
+	return slices.Delete(slices.Clone(zones), i, i+1), nil
+}
+
 func withObjectChange[T any](list []T, c Change, name func(T) string) ([]T, error) {
 	i := slices.IndexFunc(list, func(v T) bool { return name(v) == c.Name })
 	list = slices.Clone(list)
@@ -241,12 +263,15 @@
 func (e *Entry) Workers() []*sniperillv1.WorkerStatus {
 	e.init()
 	var out []*sniperillv1.WorkerStatus
+	config := e.Config()
 	for _, m := range e.roster.View().Agents {
 		health := string(m.Health)
 		switch {
 		case m.Health != roster.Alive:
 		case m.Leaving():
 			health = "leaving"
+		case config != nil && config.Evacuates(workerOf(m).Place):
+			health = "evacuated"
 		case e.planner.isQuarantined(m.Name()):
 			health = "quarantined"
 		}
--- a/internal/entry/planner.go
+++ b/internal/entry/planner.go
@@ -238,11 +238,12 @@
 	for _, m := range members {
 		w := workerOf(m)
 		workers = append(workers, w)
-		if m.Health == roster.Dead && now.Sub(m.LastHeard()) > repackDelay {
+		evacuated := config.Evacuates(w.Place)
+		if m.Health == roster.Dead && now.Sub(m.LastHeard()) > repackDelay || evacuated {
 			down[w.Place.Worker] = true
 		}
 		if w.Place.Region == p.Place.Region {
-			regionWorkers = append(regionWorkers, p.placementWorker(m, w, starting, now))
+			regionWorkers = append(regionWorkers, p.placementWorker(m, w, evacuated, starting, now))
 		}
 	}
 	stable := len(members) > 0 && now.Sub(p.lastJoined) > rosterStableDelay
@@ -301,7 +302,7 @@
 }
 
 // placementWorker returns a worker with its free resources and its flags for placement.
-func (p *planner) placementWorker(m *roster.Member, w shop.Worker, starting []*progress, now time.Time) placement.Worker {
+func (p *planner) placementWorker(m *roster.Member, w shop.Worker, evacuated bool, starting []*progress, now time.Time) placement.Worker {
 	out := placement.IdleWorker(w)
 	for _, t := range m.State.Tasks {
 		if !occupies(t) {
@@ -317,7 +318,7 @@
 	switch {
 	case m.Health != roster.Alive, p.connectFailedAt[m.State.Name].After(m.LastHeard()):
 		out.Flags |= placement.Down
-	case m.State.Leaving:
+	case m.State.Leaving, evacuated:
 		out.Flags |= placement.Leaving
 	}
 	if p.quarantine.State(now, w.Place.Worker) != quarantine.Healthy {
--- a/internal/gang/allocator.go
+++ b/internal/gang/allocator.go
@@ -48,6 +48,7 @@
 	owners                []*sniperillv1.AcceleratorOwner // By accelerator; replaced on change, never modified.
 	notices               []notice
 	leaving               bool
+	evacuated             bool      // The worker's zone takes no new work.
 	recovered             bool      // The tasks of earlier incarnations are stopped.
 	startedAt             time.Time // First reading of the clock.
 	lastActive            time.Time // Last reading of the clock.
@@ -192,6 +193,13 @@
 	a.markChanged()
 }
 
+// SetEvacuated sets whether the agent refuses new holds, as operators evacuate its zone.
+func (a *Allocator) SetEvacuated(evacuated bool) {
+	a.lockAndExpire()
+	defer a.mu.Unlock()
+	a.evacuated = evacuated
+}
+
 // State returns a snapshot of the worker's resources and attempts, as the agent
 // reports it. The snapshot is shared and must not be modified. Its sequence grows
 // with every change.
--- a/internal/gang/hold.go
+++ b/internal/gang/hold.go
@@ -68,6 +68,8 @@
 	switch {
 	case a.leaving:
 		return "agent is leaving"
+	case a.evacuated:
+		return "zone is evacuated"
 	case !a.workerStateKnown(now):
 		return "agent is recovering"
 	case h != nil && number <= h.highestClosed:
--- a/internal/gang/start_test.go
+++ b/internal/gang/start_test.go
@@ -92,6 +92,29 @@
 	})
 }
 
+// TestStartInEvacuatedZone checks that a gang doesn't start if the zone of one of its agents is evacuated, and does
+// once it is taken back.
+func TestStartInEvacuatedZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(3, 1)
+		defer c.stop()
+		time.Sleep(2 * time.Second)
+		c.nodes[1].SetEvacuated(true)
+		res, err := c.starter("entry").Start(t.Context(), c.plan(job("render", "red", 3, 2), 1, 0, 1, 2))
+		if !errors.Is(err, ErrRefused) || res.Outcome != NotRun || res.Agent != agentName(1) {
+			t.Errorf("Start = %+v, %v", res, err)
+		}
+		if diff := cmp.Diff([]string{"", "", ""}, c.states("render")); diff != "" {
+			t.Error(diff)
+		}
+		c.nodes[1].SetEvacuated(false)
+		res, err = c.starter("entry").Start(t.Context(), c.plan(job("render", "red", 3, 2), 2, 0, 1, 2))
+		if err != nil || res.Outcome != Started {
+			t.Errorf("Start = %+v, %v", res, err)
+		}
+	})
+}
+
 // TestLeaseEnds checks that no task of a gang runs a lease and a margin after a
 // fault. It uses faults that the model test rarely draws.
 func TestLeaseEnds(t *testing.T) {
--- a/internal/request/drain.go
+++ b/internal/request/drain.go
@@ -31,6 +31,9 @@
 	t.leaving.Store(true)
 }
 
+// SetEvacuated sets whether the table refuses new requests, as operators evacuate its agent's zone.
+func (t *Table) SetEvacuated(evacuated bool) { t.evacuated.Store(evacuated) }
+
 // Leaving reports whether new requests are refused.
 func (t *Table) Leaving() bool { return t.leaving.Load() }
 
--- a/internal/request/table.go
+++ b/internal/request/table.go
@@ -64,6 +64,7 @@
 	// whose record was removed can't run again.
 	floor        atomic.Int64
 	leaving      atomic.Bool
+	evacuated    atomic.Bool
 	inProgress   atomic.Int64
 	requestEnded chan struct{}
 	newlyEnded   recordStack
@@ -162,6 +163,8 @@
 		t.refuse(r, req, "ticket is older than what is remembered", 0)
 	case t.leaving.Load():
 		t.refuse(r, req, "agent is leaving", 0)
+	case t.evacuated.Load():
+		t.refuse(r, req, "zone is evacuated", 0)
 	case deadline <= 0:
 		t.refuse(r, req, "deadline has passed", 0)
 	case t.count.Load() > int64(t.MaxRecords):
--- a/internal/request/table_test.go
+++ b/internal/request/table_test.go
@@ -83,6 +83,8 @@
 		{"another agent", func(_ *countingTable, r *sniperillv1.ServeRequest) { r.Ticket.Agent = "b" }, shop.OutcomeNotRun, 0},
 		{"idempotent", func(_ *countingTable, r *sniperillv1.ServeRequest) { r.Ticket, r.Idempotent = nil, true }, shop.OutcomeDone, 1},
 		{"leaving", func(c *countingTable, _ *sniperillv1.ServeRequest) { c.Leave() }, shop.OutcomeNotRun, 0},
+		{"evacuated", func(c *countingTable, _ *sniperillv1.ServeRequest) { c.SetEvacuated(true) }, shop.OutcomeNotRun, 0},
+		{"taken back", func(c *countingTable, _ *sniperillv1.ServeRequest) { c.SetEvacuated(true); c.SetEvacuated(false) }, shop.OutcomeDone, 1},
 		{"deadline", func(_ *countingTable, r *sniperillv1.ServeRequest) { r.Deadline = durationpb.New(0) }, shop.OutcomeNotRun, 0},
 		{"no slot", func(c *countingTable, _ *sniperillv1.ServeRequest) { c.err = backend.ErrNoSlot }, shop.OutcomeNotRun, 0},
 		{"short answer", func(c *countingTable, _ *sniperillv1.ServeRequest) { c.err = backend.ErrIncompleteAnswer }, shop.OutcomeMayHaveRun, 1},
--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -70,7 +70,7 @@
 
 // Object is one object of the configuration.
 type Object struct {
-	// Kind is "team", "class", "backend-server" or "policy".
+	// Kind is "team", "class", "backend-server", "policy" or "evacuation", whose name is the zone.
 	Kind string
 	Name string
 	// JSON is the object as JSON; empty removes it.
--- a/pkg/shop/config.go
+++ b/pkg/shop/config.go
@@ -14,6 +14,9 @@
 	Classes        ClassList         `json:"classes"`
 	BackendServers BackendServerList `json:"backend-servers"`
 	Policy         Policy            `json:"policy"`
+	// EvacuatedZones are the availability zones that take no new work, sorted: ZONE in each region, or REGION/ZONE.
+	// Changes of the rest of the configuration keep them.
+	EvacuatedZones []string `json:"evacuated-zones,omitempty"`
 }
 
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
@@ -53,9 +56,15 @@
 	}
 	slices.SortFunc(c.BackendServers, func(a, b BackendServer) int { return cmp.Compare(a.Name, b.Name) })
 	c.Policy.SetDefaults()
+	c.EvacuatedZones = slices.Compact(slices.Sorted(slices.Values(c.EvacuatedZones)))
 	return c
 }
 
+// Evacuates reports whether the zone of a place takes no new work.
+func (c Config) Evacuates(p Place) bool {
+	return slices.Contains(c.EvacuatedZones, p.Zone) || slices.Contains(c.EvacuatedZones, p.Region+"/"+p.Zone)
+}
+
 // WithVersion returns a copy with another version number.
 func (c Config) WithVersion(v uint64) Config {
 	c.Version = v
@@ -90,5 +99,8 @@
 		}
 	}
 	l.Under("policy", c.Policy.Validate())
+	if slices.Contains(c.EvacuatedZones, "") {
+		l.Add("evacuated-zones", "", "must not be empty")
+	}
 	return l
 }
--- a/pkg/shop/shop_test.go
+++ b/pkg/shop/shop_test.go
@@ -45,6 +45,8 @@
 		{"connections", func(c *Config) {
 			c.BackendServers = BackendServerList{{Name: "*", Classes: []string{"quote"}, Slots: 9, Connections: 8}}
 		}, []string{"backend-servers.*.connections"}},
+		{"evacuated zones", func(c *Config) { c.EvacuatedZones = []string{"north-1", "south/a"} }, nil},
+		{"evacuated zone without a name", func(c *Config) { c.EvacuatedZones = []string{""} }, []string{"evacuated-zones"}},
 		{"policy", func(c *Config) { c.Policy.QuarantineShare = 2 }, []string{"policy.quarantine-share"}},
 	}
 	for _, tt := range tests {
