--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -14,6 +14,7 @@
 	preemptions    = metrics.NewCounter("sniperill_planner_evictions_total")
 	quarantines    = metrics.NewCounter("sniperill_planner_quarantines_total")
 	evacuations    = metrics.NewCounter("sniperill_planner_evacuations_total")
+	standstills    = metrics.NewCounter("sniperill_planner_standstills_total")
 	evacuatedZones = metrics.NewGauge("sniperill_planner_evacuated_zones", nil)
 	evacuatedTasks = metrics.NewGauge("sniperill_planner_evacuated_zone_tasks", nil)
 	// unbackedAccelerators is by how many the guarantees exceed those outside evacuated zones.
@@ -24,6 +25,11 @@
 	planDuration         = metrics.NewHistogram("sniperill_planner_plan_duration_seconds")
 	storeDuration        = metrics.NewHistogram("sniperill_planner_store_duration_seconds")
 	waitDuration         = metrics.NewHistogram("sniperill_planner_wait_seconds")
+	paceDuration         = metrics.NewHistogram("sniperill_planner_pace_duration_seconds")
+	fastWorkers          = metrics.NewGauge(`sniperill_planner_workers{pace="fast"}`, nil)
+	medianWorkers        = metrics.NewGauge(`sniperill_planner_workers{pace="median"}`, nil)
+	slowWorkers          = metrics.NewGauge(`sniperill_planner_workers{pace="slow"}`, nil)
+	newWorkers           = metrics.NewGauge(`sniperill_planner_workers{pace="unknown"}`, nil)
 )
 
 // endLabels are the metric labels of the ways in which a run ends.
