schedule: cold workers get patient work first

Cause: the plan knew how long a worker is cold, and the classes of paces didn't count it; the mean of a patient unit's time did, so that it preferred the fast workers while any was cold. Change: a worker that is cold for half a second or longer counts as three times as slow in the classes only.

--- a/internal/schedule/pace.go
+++ b/internal/schedule/pace.go
@@ -8,7 +8,7 @@
 	"sniperill.example/sniperill/internal/pace"
 )
 
-// initClasses divides the workers into classes by their paces. A worker that isn't known is taken to be as fast as
+// initClasses divides the workers into classes by their paces, as long as they are cold by slower ones. A worker that isn't known is taken to be as fast as
 // the known ones are on average, so that it comes after the fast ones for a gang, which ends with its slowest member.
 func (p *planner) initClasses() {
 	sum, known := 0.0, 0
@@ -25,7 +25,7 @@
 	p.paces = make([]float64, len(p.Workers))
 	p.classes = make([]int, len(p.Workers))
 	for i := range p.Workers {
-		p.paces[i] = cmp.Or(p.Workers[i].Pace, mean)
+		p.paces[i] = cmp.Or(p.Workers[i].Pace, mean) * p.Workers[i].coldness()
 		p.classes[i] = pace.Class(p.paces[i])
 		p.uneven = p.uneven || p.classes[i] != p.classes[0]
 	}
--- a/internal/schedule/pace_test.go
+++ b/internal/schedule/pace_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -106,3 +107,39 @@
 		})
 	}
 }
+
+// A zone comes back with cold workers. Urgent work goes there last, patient work first.
+func TestColdWorkersGetPatientWork(t *testing.T) {
+	tests := []struct {
+		name     string
+		priority int
+		members  int
+		cold     time.Duration // Of the first three of six workers.
+		want     []int
+	}{
+		{"urgent work", 0, 3, 4 * time.Second, []int{3, 4, 5}},
+		{"urgent work beyond the warm ones", 0, 4, 4 * time.Second, []int{0, 3, 4, 5}},
+		{"urgent work, almost warm", 0, 3, 100 * time.Millisecond, []int{0, 1, 2}},
+		{"patient work", 1, 1, 4 * time.Second, []int{0}},
+		{"a patient gang", 1, 3, 4 * time.Second, []int{0, 1, 2}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			step := *newStep(8)
+			step.Gang = tt.members > 1
+			w := waitingUnit(&step, tt.members)
+			w.Priority = tt.priority
+			v := &schedule.View{Now: testStart.Add(11e9), Workers: newWorkers(6), SpreadCounts: make([]map[int]int, 1), Waiting: []schedule.WaitingUnit{w}}
+			for i := range 3 {
+				v.Workers[i].Cold = tt.cold
+			}
+			plan := schedule.ComputePlan(v)
+			if len(plan.Starts) != 1 {
+				t.Fatalf("%d starts, want 1", len(plan.Starts))
+			}
+			if diff := cmp.Diff(tt.want, slices.Sorted(slices.Values(plan.Starts[0].Workers))); diff != "" {
+				t.Errorf("started on (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/schedule/view.go
+++ b/internal/schedule/view.go
@@ -21,20 +21,29 @@
 	Cold time.Duration
 }
 
-// coldFactor is how many times longer a task counts as taking on a cold worker: workers' own paces differ by less, so
-// that each cold worker counts as slower than each warm one.
-const coldFactor = 3
+const (
+	// coldFactor is how many times longer a task counts as taking on a cold worker: workers' own paces differ by less,
+	// so that each cold worker counts as slower than each warm one.
+	coldFactor = 3
+	// minCold is from which time on that a worker stays slow it counts as cold. Users' workers take up to twice as long
+	// for the stop that makes room on another one.
+	minCold = 500 * time.Millisecond
+)
 
-// pace returns the worker's pace, or 1 if it isn't known, and more if the worker is cold.
+// pace returns the worker's pace, or 1 if it isn't known.
 func (w *Worker) pace() float64 {
-	pace := w.Pace
-	if pace <= 0 {
-		pace = 1
+	if w.Pace <= 0 {
+		return 1
 	}
-	if w.Cold > 0 {
-		pace *= coldFactor
+	return w.Pace
+}
+
+// coldness returns how many times longer a task counts as taking on the worker than once it is warm.
+func (w *Worker) coldness() float64 {
+	if w.Cold < minCold {
+		return 1
 	}
-	return pace
+	return coldFactor
 }
 
 // open reports whether the worker takes any new tasks that fit.
