--- a/pkg/workflow/step.go
+++ b/pkg/workflow/step.go
@@ -158,8 +158,13 @@
 			l.Add(f.name, strconv.Itoa(len(f.value))+" bytes", fmt.Sprintf("must be at most %d bytes", MaxLabel))
 		}
 	}
-	for i, a := range s.After {
-		if a < 0 || a >= index || slices.Contains(s.After[:i], a) {
+	after := s.After
+	if len(after) > index { // The list may be as long as a body holds; its entries aren't compared with each other then.
+		l.Add("after", strconv.Itoa(len(after))+" steps", fmt.Sprintf("must name steps before step %d, each once", index))
+		after = nil
+	}
+	for i, a := range after {
+		if a < 0 || a >= index || slices.Contains(after[:i], a) {
 			l.Add("after", strconv.Itoa(a), fmt.Sprintf("must name a step before step %d, once", index))
 		}
 	}
