frontdoor: clients outside the limits don't take a process over its machine

Cause: nothing bounded what all connections held together: their number, heads (up to 1 MB each, 30 times as much as a map), bodies under way, idle connections, answers that nobody reads; the runtime knew no limit either. Change: a door before the callers' listener of an entry and the worker's of an agent, with one budget of bytes and one of connections from the memory and the descriptors in the settings. Who stands still longest gives way, until its request has been read whole; the connection is closed without an answer, so that no promise is made about the job.

--- /dev/null
+++ b/internal/frontdoor/door_test.go
@@ -0,0 +1,145 @@
+package frontdoor
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+)
+
+func TestLimits(t *testing.T) {
+	tests := []struct {
+		name    string
+		machine Machine
+		want    Limits
+	}{
+		{"an entry VM", Machine{144, 3075}, Limits{958, 36 << 20, 72 << 20}},
+		{"unknown", Machine{}, Limits{16_384, 1 << 30, 0}},
+		{"no descriptors but those for files", Machine{0, 200}, Limits{1, 1 << 30, 0}},
+	}
+	for _, tt := range tests {
+		if diff := cmp.Diff(tt.want, tt.machine.Limits()); diff != "" {
+			t.Errorf("%s: limits (-want +got):\n%s", tt.name, diff)
+		}
+	}
+}
+
+// pipe is a connection as the door's listener accepts it.
+type pipe struct {
+	net.Conn
+	closed bool
+}
+
+func (p *pipe) Close() error { p.closed = true; return p.Conn.Close() }
+
+func newPipe() *pipe {
+	near, _ := net.Pipe()
+	return &pipe{Conn: near}
+}
+
+// Load pattern: connections that are opened and left.
+func TestOldestIdleConnectionGivesWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &Door{Name: t.Name(), Limits: Limits{Connections: 2, Bytes: 1 << 20}, Log: zerolog.Nop()}
+		pipes := []*pipe{newPipe(), newPipe(), newPipe(), newPipe()}
+		admit := func(i int) bool { _, ok := d.admit(pipes[i]); return ok }
+		admit(0)
+		time.Sleep(minStill / 2)
+		admit(1)
+		time.Sleep(minStill / 2)
+		if !admit(2) || !pipes[0].closed || pipes[1].closed {
+			t.Errorf("closed the first %v, the second %v; want the first only", pipes[0].closed, pipes[1].closed)
+		}
+		if admit(3) || pipes[1].closed || pipes[2].closed {
+			t.Error("closed a connection for another one before it had stood still for long")
+		}
+		if d.open != 2 || d.bytes != 2*connectionCost {
+			t.Errorf("%d connections and %d bytes are held, want 2 and %d", d.open, d.bytes, 2*connectionCost)
+		}
+	})
+}
+
+// Load pattern: many large bodies that stop just short of their end, some of which are read whole.
+func TestBodyUnderWayGivesWayButNoneThatWasRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &Door{Name: t.Name(), Limits: Limits{Connections: 10, Bytes: 3*connectionCost + 1000}, Log: zerolog.Nop()}
+		var conns []*conn
+		var pipes []*pipe
+		for _, s := range []stage{working, waiting, body} {
+			p := newPipe()
+			c, _ := d.admit(p)
+			c.enter(s)
+			conns, pipes = append(conns, c), append(pipes, p)
+			time.Sleep(minStill)
+		}
+		if err := conns[2].charge(600); err != nil {
+			t.Fatal(err)
+		}
+		if err := conns[0].charge(600); err != nil {
+			t.Fatalf("no room for a request while a body stands still: %v", err)
+		}
+		if pipes[0].closed || pipes[1].closed || !pipes[2].closed {
+			t.Errorf("closed: working %v, idle %v, body %v; want the body only", pipes[0].closed, pipes[1].closed, pipes[2].closed)
+		}
+		if err := conns[0].charge(3 * connectionCost); err == nil || !pipes[1].closed || !pipes[0].closed {
+			t.Errorf("charge of more than there is: error %v, closed idle %v, itself %v", err, pipes[1].closed, pipes[0].closed)
+		}
+		if d.open != 0 || d.bytes != 0 {
+			t.Errorf("%d connections and %d bytes are held, want none", d.open, d.bytes)
+		}
+	})
+}
+
+// A connection that serves request after request holds no more than itself in between, and large heads are reduced to
+// the fields that are read.
+func TestRequestsGiveBackWhatTheyHeld(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &Door{Name: t.Name(), Limits: Machine{}.Limits(), Headers: []string{"Authorization"}, Log: zerolog.Nop()}
+	var fields []int
+	s := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		fields = append(fields, len(r.Header))
+		if got := r.Header.Get("Authorization"); got != "Bearer key" {
+			t.Errorf("Authorization is %q", got)
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			t.Error(err)
+		}
+	})}
+	d.Apply(s)
+	go func() { _ = s.Serve(d.Listener(l)) }()
+	client := &http.Client{Transport: &http.Transport{}}
+	for range 3 {
+		r, err := http.NewRequest(http.MethodPost, "http://"+l.Addr().String(), strings.NewReader(strings.Repeat("x", 100_000)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Header.Set("Authorization", "Bearer key")
+		for i := range 300 {
+			r.Header.Set("X-"+strings.Repeat("y", i+1), "")
+		}
+		resp, err := client.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+	}
+	client.CloseIdleConnections()
+	s.Close()
+	if diff := cmp.Diff([]int{1, 1, 1}, fields); diff != "" {
+		t.Errorf("fields that the handler sees (-want +got):\n%s", diff)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.open != 0 || d.bytes != 0 {
+		t.Errorf("%d connections and %d bytes are held after the server was closed", d.open, d.bytes)
+	}
+}
--- /dev/null
+++ b/internal/frontdoor/limits.go
@@ -0,0 +1,47 @@
+package frontdoor
+
+// Machine is what a process may have of its machine. Zero means that a value is not known.
+type Machine struct {
+	MemoryMB int
+	// Descriptors is the number of file descriptors, those for files included.
+	Descriptors int
+}
+
+// Limits bound what a process holds for its clients.
+type Limits struct {
+	// Connections is the largest number of open connections.
+	Connections int
+	// Bytes is the most memory for connections, heads and bodies under way.
+	Bytes int64
+	// RuntimeBytes is the limit for the runtime's memory; zero if there is none.
+	RuntimeBytes int64
+}
+
+// Shares of a machine, and what is taken if it is not known.
+const (
+	// fileDescriptors are those of a machine that are for files, by the platform's pages.
+	fileDescriptors = 200
+	// connectionShare is the divisor of the other descriptors for clients. As many are left for the calls to peers
+	// and the store that their requests cause, one each at most, and as many for peers, workers and operators.
+	connectionShare = 3
+	// byteShare is the divisor of the memory for what is held for clients.
+	byteShare = 4
+	// runtimeShare is the divisor of the memory for the runtime. The rest is for the program itself and for what
+	// the kernel holds for connections.
+	runtimeShare = 2
+
+	unknownConnections = 16_384
+	unknownBytes       = 1 << 30
+)
+
+// Limits returns the limits on the machine.
+func (m Machine) Limits() Limits {
+	l := Limits{Connections: unknownConnections, Bytes: unknownBytes}
+	if m.Descriptors > 0 {
+		l.Connections = max(1, (m.Descriptors-fileDescriptors)/connectionShare)
+	}
+	if memory := int64(m.MemoryMB) << 20; memory > 0 {
+		l.Bytes, l.RuntimeBytes = memory/byteShare, memory/runtimeShare
+	}
+	return l
+}
