--- a/internal/clusterstate/record.go
+++ b/internal/clusterstate/record.go
@@ -31,6 +31,8 @@
 	Zone    string `json:"zone"`
 	// CPUShare is the processor time that an entry gets, in cores; zero if it is not known.
 	CPUShare float64 `json:"cpu-share,omitempty"`
+	// MemoryMB is the memory that an entry may have, in MB; zero if it is not known.
+	MemoryMB int `json:"memory-mb,omitempty"`
 	// Build identifies the build of the process's program; empty for a version that didn't say.
 	Build string `json:"build,omitempty"`
 	// Worker is what the agent's worker offers, nil until it is known.
--- a/internal/clusterstate/state.go
+++ b/internal/clusterstate/state.go
@@ -19,6 +19,7 @@
 	AcceptedOffset int64 // Offset of the record that accepted the job.
 	Cancelled      bool
 	progress       storedProgress
+	bytes          int64 // What jobBytes says of it; zero until it is accepted.
 	// FinalSince is when this process learned that the job is final, zero until then.
 	FinalSince clock.Instant
 }
@@ -65,6 +66,40 @@
 	planner atomic.Pointer[Planner]
 	entries sync.Map // Address by name.
 	agents  sync.Map // Address by name.
+
+	bytesMu sync.Mutex
+	bytes   map[string]int64 // Of the jobs, by team.
+}
+
+// taskBytes is the memory for the state of a task: its run, worker and checkpoint here and at the planner.
+const taskBytes = 100
+
+// jobBytes returns how much memory a job takes that was read from a record of the given size. The names and lists
+// of its steps take up to twice as much as their text.
+func jobBytes(recordSize int, j *workflow.Job) int64 {
+	return int64(2*recordSize + taskBytes*j.Tasks())
+}
+
+// JobBytes returns the memory that a team's jobs take, and that all jobs take.
+func (s *State) JobBytes(team string) (ofTeam, all int64) {
+	s.bytesMu.Lock()
+	defer s.bytesMu.Unlock()
+	for _, n := range s.bytes {
+		all += n
+	}
+	return s.bytes[team], all
+}
+
+// addBytes adds to what a team's jobs take.
+func (s *State) addBytes(team string, n int64) {
+	s.bytesMu.Lock()
+	defer s.bytesMu.Unlock()
+	if s.bytes == nil {
+		s.bytes = make(map[string]int64)
+	}
+	if s.bytes[team] += n; s.bytes[team] == 0 {
+		delete(s.bytes, team)
+	}
 }
 
 // Job returns a job by its id.
@@ -184,7 +219,9 @@
 
 func (s *State) applyJob(id string, r journal.Record) error {
 	if r.Value == nil {
-		s.jobs.Delete(id)
+		if v, ok := s.jobs.LoadAndDelete(id); ok && v.(*Job).Spec != nil {
+			s.addBytes(v.(*Job).Spec.Team, -v.(*Job).bytes)
+		}
 		return nil
 	}
 	var spec workflow.Job
@@ -197,7 +234,8 @@
 	var odd error
 	err := s.updateJob(id, func(j *Job) error {
 		if j.Spec == nil { // Only the first record counts; a retry by the caller may add another.
-			j.Spec, j.AcceptedOffset = &spec, r.Offset
+			j.Spec, j.AcceptedOffset, j.bytes = &spec, r.Offset, jobBytes(len(r.Value), &spec)
+			s.addBytes(spec.Team, j.bytes)
 			// The records of a job may come in any order, so its progress is checked once it is known.
 			j.progress, odd = j.progress.checked(&spec)
 		}
--- a/internal/frontdoor/door.go
+++ b/internal/frontdoor/door.go
@@ -313,7 +313,15 @@
 }
 
 // CloseWrite tells the client that nothing more is sent, so that it reads the answer before the connection ends.
+// The server waits for that; the connection is the first to give way meanwhile.
 func (c *conn) CloseWrite() error {
+	c.door.mu.Lock()
+	if !c.gone {
+		c.leaveList()
+		c.stage, c.since, c.list = answering, time.Time{}, &c.door.still[idle]
+		c.element = c.list.PushFront(c)
+	}
+	c.door.mu.Unlock()
 	if inner, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return inner.CloseWrite()
 	}
--- a/internal/frontdoor/door_test.go
+++ b/internal/frontdoor/door_test.go
@@ -65,6 +65,20 @@
 	})
 }
 
+// Load pattern: requests that are refused before their body was read, one after the other.
+func TestAnsweredConnectionGivesWayAtOnce(t *testing.T) {
+	d := &Door{Name: t.Name(), Limits: Limits{Connections: 2, Bytes: 1 << 20}, Log: zerolog.Nop()}
+	first, second := newPipe(), newPipe()
+	_, _ = d.admit(first)
+	c, _ := d.admit(second)
+	if err := c.CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	if _, ok := d.admit(newPipe()); !ok || first.closed || !second.closed {
+		t.Errorf("admitted %v, closed the idle one %v, the answered one %v", ok, first.closed, second.closed)
+	}
+}
+
 // Load pattern: many large bodies that stop just short of their end, some of which are read whole.
 func TestBodyUnderWayGivesWayButNoneThatWasRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/intake/service.go
+++ b/internal/intake/service.go
@@ -46,6 +46,8 @@
 type Service struct {
 	// Name and Incarnation are those of this entry.
 	Name, Incarnation string
+	// MemoryMB is the memory of this entry, in MB; zero if it is not known.
+	MemoryMB int
 
 	ClusterState *clusterstate.State
 	Follower     *journal.Follower
