--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -115,6 +115,10 @@
 
 	// Callers is the TCP address for callers and operators, served with TLS.
 	Callers string `json:"callers" validate:"required,hostname_port"`
+	// Memory is the memory that the process may have; zero if it is not known.
+	Memory shop.Bytes `json:"memory,omitempty" validate:"gte=0"`
+	// Descriptors is the number of file descriptors that the process may have; zero if it is not known.
+	Descriptors int `json:"descriptors,omitempty" validate:"gte=0"`
 }
 
 // Agent contains the settings of an agent.
