deployment: callers of an entry pass the front door

Cause: the callers' listener of `sniperill entry` and `up` had no limit but one on the time of a head. Change: the same door as on the users' platform, worked out from the settings `memory` and `descriptors`; smaller windows and fewer streams for HTTP/2.

--- a/internal/deployment/entry.go
+++ b/internal/deployment/entry.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"connectrpc.com/connect"
@@ -13,6 +14,7 @@
 
 	"sniperill.example/sniperill/internal/caller"
 	"sniperill.example/sniperill/internal/entry"
+	"sniperill.example/sniperill/internal/frontdoor"
 	"sniperill.example/sniperill/internal/keys"
 	"sniperill.example/sniperill/internal/operator"
 	"sniperill.example/sniperill/internal/peer"
@@ -90,7 +92,12 @@
 		Options: []connect.HandlerOption{tracing},
 	}
 	operators.Register(mux)
-	if p.callers, err = listenTCP(p.Settings.Callers, mux, serverTLS); err != nil {
+	limits := frontdoor.Machine{MemoryMB: int(p.Settings.Memory >> 20), Descriptors: p.Settings.Descriptors}.Limits()
+	if limits.RuntimeBytes > 0 {
+		debug.SetMemoryLimit(limits.RuntimeBytes)
+	}
+	door := &frontdoor.Door{Name: "callers", Limits: limits, Log: p.Logger.With().Str("name", p.Settings.Name).Logger()}
+	if p.callers, err = listenTCP(p.Settings.Callers, mux, serverTLS, door); err != nil {
 		return trace.Wrap(err)
 	}
 	p.admin, err = listenAdmin(p.Settings.Admin, &telemetry.Admin{Ready: p.entry.Ready, Metrics: entryMetrics(p.entry)})
--- a/internal/deployment/server.go
+++ b/internal/deployment/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/gravitational/trace"
 
+	"sniperill.example/sniperill/internal/frontdoor"
 	"sniperill.example/sniperill/internal/telemetry"
 )
 
@@ -24,13 +25,30 @@
 	listener net.Listener
 }
 
-// listenTCP opens a listener for an HTTP server. If config is nil, it serves plain HTTP.
-func listenTCP(address string, h http.Handler, config *tls.Config) (*tcpServer, error) {
+// HTTP/2 connections of callers. The windows are those of a few calls at a time with small bodies.
+const (
+	maxStreams       = 100
+	connectionWindow = 256 << 10
+	streamWindow     = 128 << 10
+)
+
+// listenTCP opens a listener for an HTTP server. If config is nil, it serves plain HTTP. If door is nil, it admits
+// all clients.
+func listenTCP(address string, h http.Handler, config *tls.Config, door *frontdoor.Door) (*tcpServer, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("deployment.listenTCP: %w", err)
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, Protocols: new(http.Protocols)}
+	s := &http.Server{
+		Handler: h, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: frontdoor.MaxHeaderBytes, Protocols: new(http.Protocols),
+	}
+	if door != nil {
+		listener = door.Listener(listener)
+		door.Apply(s)
+		s.HTTP2 = &http.HTTP2Config{
+			MaxConcurrentStreams: maxStreams, MaxReceiveBufferPerConnection: connectionWindow, MaxReceiveBufferPerStream: streamWindow,
+		}
+	}
 	s.Protocols.SetHTTP1(true)
 	if config == nil {
 		s.Protocols.SetUnencryptedHTTP2(true)
@@ -76,5 +94,5 @@
 	if address == "" {
 		return nil, nil
 	}
-	return listenTCP(address, a.Handler(), nil)
+	return listenTCP(address, a.Handler(), nil, nil)
 }
--- a/internal/deployment/standin.go
+++ b/internal/deployment/standin.go
@@ -25,7 +25,7 @@
 // Open opens the listener.
 func (p *StandInProcess) Open(address string) error {
 	var err error
-	p.server, err = listenTCP(address, p.Handler, nil)
+	p.server, err = listenTCP(address, p.Handler, nil, nil)
 	return trace.Wrap(err)
 }
 
