--- a/internal/clusterstate/record.go
+++ b/internal/clusterstate/record.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"sniperill.example/sniperill/internal/journal"
 	"sniperill.example/sniperill/pkg/workflow"
@@ -33,6 +34,8 @@
 	CPUShare float64 `json:"cpu-share,omitempty"`
 	// Build identifies the build of the process's program; empty for a version that didn't say.
 	Build string `json:"build,omitempty"`
+	// Started is when the process started, by its own time of day; zero for a version that didn't say.
+	Started time.Time `json:"started,omitzero"`
 	// Worker is what the agent's worker offers, nil until it is known.
 	Worker *workflow.Worker `json:"worker,omitempty"`
 }
@@ -118,6 +121,22 @@
 // AgentRecord records the address of an agent and its worker.
 func AgentRecord(a Address) journal.Record { return record(agentPrefix+a.Name, a) }
 
+// ParseAddress decodes an address record; the zero value if it deletes its key.
+func ParseAddress(r journal.Record) (Address, error) {
+	if r.Value == nil {
+		return Address{}, nil
+	}
+	var a Address
+	if err := json.Unmarshal(r.Value, &a); err != nil {
+		return Address{}, err
+	}
+	if err := a.check(); err != nil {
+		return Address{}, err
+	}
+	_, a.Name = splitKey(r.Key)
+	return a, nil
+}
+
 // DeletionRecords returns the records that remove a job from the journal, given the blocks of its progress
 // beside the first.
 func DeletionRecords(id string, blocks ...int) []journal.Record {
--- a/internal/clusterstate/state.go
+++ b/internal/clusterstate/state.go
@@ -276,18 +276,14 @@
 }
 
 func applyAddress(m *sync.Map, name string, r journal.Record) (Address, error) {
-	if r.Value == nil {
-		m.Delete(name)
-		return Address{}, nil
-	}
-	var a Address
-	if err := json.Unmarshal(r.Value, &a); err != nil {
-		return a, err
-	}
-	if err := a.check(); err != nil {
+	a, err := ParseAddress(r)
+	switch {
+	case err != nil:
 		return a, err
+	case r.Value == nil:
+		m.Delete(name)
+	default:
+		m.Store(name, a)
 	}
-	a.Name = name
-	m.Store(name, a)
 	return a, nil
 }
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -16,6 +16,8 @@
 	ErrRejected = errors.New("records rejected by the store")
 	// ErrFenced means that a producer with a higher epoch has taken over.
 	ErrFenced = errors.New("producer fenced by a higher epoch")
+	// ErrOutOfSequence means that another append has followed the producer's last one in its epoch.
+	ErrOutOfSequence = errors.New("append out of sequence")
 	// ErrTrimmed means that the records at the offset no longer exist.
 	ErrTrimmed = errors.New("records trimmed")
 )
@@ -58,8 +60,8 @@
 // Store holds the platform store's operations on the journal's partition.
 type Store struct {
 	// Append appends all records or none, and returns the first one's offset. An empty list only
-	// sets the producer's epoch. It fails with ErrUnavailable, ErrRejected or ErrFenced; any
-	// other error means that the outcome is unknown.
+	// sets the producer's epoch. It fails with ErrUnavailable, ErrRejected, ErrFenced or
+	// ErrOutOfSequence; any other error means that the outcome is unknown.
 	Append func(ctx context.Context, p Producer, records []Record) (int64, error)
 	// Read returns records from an offset on. If there are none, it waits for one.
 	Read func(ctx context.Context, from int64, wait time.Duration) (Page, error)
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -166,7 +166,7 @@
 	case known && p.Epoch == last.epoch && p.Sequence == last.sequence:
 		return last.offset, false, nil
 	case known && p.Epoch == last.epoch && p.Sequence != last.sequence+1:
-		return 0, false, fmt.Errorf("standin.Store: producer %s has sequence %d, not %d", p.Name, last.sequence, p.Sequence)
+		return 0, false, fmt.Errorf("standin.Store: producer %s has sequence %d, not %d: %w", p.Name, last.sequence, p.Sequence, journal.ErrOutOfSequence)
 	}
 	offset = int64(len(s.records))
 	for _, r := range records {
