intake: an entry that leaves tells its peers what it may have written

An entry that stopped as told counted for 4 s as one that may be writing any job, silent first and replaced then. While entries are restarted in turn and the store is away, all others answered 504 for all jobs, which their callers may not try again.

Now it tells its peers at its end which writes are undecided and which jobs it has accepted of late; they refuse the others. The next incarnation calls its peers before it writes its first job.

--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -996,6 +996,15 @@
 	}
 }
 
+// leaveEntry ends an entry as a process that was told to stop does.
+func (c *cluster) leaveEntry(e *entry) {
+	e.storeLink.setDisconnected(true) // Its writer has stopped.
+	e.stop()
+	<-e.stopped
+	e.intake.Leave(c.ctx)
+	e.kill()
+}
+
 // restartEntry kills an entry and starts it again.
 func (c *cluster) restartEntry(e *entry) {
 	e.kill()
--- a/internal/dispatch/submit_test.go
+++ b/internal/dispatch/submit_test.go
@@ -367,6 +367,85 @@
 	}
 }
 
+// An entry leaves while the store is away, or just before. It tells the others what it may have written, so they refuse
+// all other jobs at once: their callers may try again.
+func TestJobsAreRefusedAfterEntryLeft(t *testing.T) {
+	tests := []struct {
+		name string
+		// before is called before the entry leaves. The outcome of job "a" is wanted afterwards.
+		before  func(c *cluster, leaving, other *entry)
+		want    error
+		restart bool
+	}{
+		{
+			name: "nothing open", want: intake.ErrUnavailable,
+			before: func(c *cluster, _, _ *entry) { c.store.SetFault(standin.StoreBusy) },
+		},
+		{
+			name: "nothing open, and it starts again", want: intake.ErrUnavailable, restart: true,
+			before: func(c *cluster, _, _ *entry) { c.store.SetFault(standin.StoreBusy) },
+		},
+		{
+			name: "its write of the job is open, and it starts again", want: intake.ErrUndecided, restart: true,
+			before: func(c *cluster, leaving, _ *entry) {
+				c.store.SetFault(standin.StoreAppendsSilent)
+				_ = c.submitAt(leaving, "a", "red", "batch", task(1, 1))
+				c.store.SetFault(standin.StoreSilent)
+			},
+		},
+		{
+			name: "it has accepted the job, which the other has not read", restart: true,
+			before: func(c *cluster, leaving, other *entry) {
+				other.storeLink.setDisconnected(true)
+				time.Sleep(3 * time.Second) // A read that was already waiting ends.
+				c.submitFirst(leaving)
+				c.store.SetFault(standin.StoreBusy)
+			},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			withVirtualTime(t, func(t *testing.T) {
+				c := newCluster(t, 3, 2)
+				time.Sleep(3 * time.Second)
+				leaving, other := c.entries[0], c.entries[1]
+				tt.before(c, leaving, other)
+				c.leaveEntry(leaving)
+				if tt.restart {
+					c.restartEntry(leaving)
+				}
+				time.Sleep(1500 * time.Millisecond) // The others have seen that.
+				_ = c.submitAt(other, "first", "red", "batch", task(1, 1))
+				for id, want := range map[string]error{"a": tt.want, "b": intake.ErrUnavailable} {
+					if err := c.submitAt(other, id, "red", "batch", task(1, 1)); !errors.Is(err, want) {
+						t.Errorf("submit %s: %v, want %v", id, err, want)
+					}
+				}
+			})
+		})
+	}
+}
+
+// An entry leaves, starts again, and is killed while its write is open, before any regular probe.
+func TestJobOfEntryKilledAfterItLeftIsNotRefused(t *testing.T) {
+	withVirtualTime(t, func(t *testing.T) {
+		c := newCluster(t, 3, 2)
+		time.Sleep(3100 * time.Millisecond)
+		c.leaveEntry(c.entries[0])
+		c.restartEntry(c.entries[0])
+		time.Sleep(200 * time.Millisecond)
+		c.store.SetFault(standin.StoreAppendsSilent)
+		go func() { _ = c.submitAt(c.entries[0], "open", "red", "batch", task(1, 1)) }()
+		time.Sleep(200 * time.Millisecond)
+		c.entries[0].kill()
+		c.store.SetFault(standin.StoreSilent)
+		time.Sleep(time.Second)
+		if err := c.submitAt(c.entries[1], "open", "red", "batch", task(1, 1)); errors.Is(err, intake.ErrUnavailable) {
+			t.Errorf("submit again: %v", err)
+		}
+	})
+}
+
 // A cancellation is answered with "no such job" only if no entry may still write the job: it would run.
 func TestCancelWaitsForOpenWrite(t *testing.T) {
 	withVirtualTime(t, func(t *testing.T) {
--- a/internal/intake/incarnation.go
+++ b/internal/intake/incarnation.go
@@ -11,20 +11,22 @@
 type incarnations struct {
 	mu         sync.Mutex
 	newest     map[string]string // By the entry's name.
-	replacedAt clock.Instant     // When an entry was last seen to have another one; zero if never.
+	left       map[string]string // The incarnation that has told that it leaves, by the entry's name.
+	replacedAt clock.Instant     // When an entry that had not left was last seen to have another one; zero if never.
 }
 
 // note records an incarnation of an entry, both of which are empty for an entry of an earlier version.
 func (i *incarnations) note(name, incarnation string) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
 	if incarnation == "" {
+		delete(i.left, name) // The one that left is followed by one that can't be told from others.
 		return
 	}
-	i.mu.Lock()
-	defer i.mu.Unlock()
 	if i.newest == nil {
 		i.newest = make(map[string]string)
 	}
-	if before, ok := i.newest[name]; ok && before != incarnation {
+	if before, ok := i.newest[name]; ok && before != incarnation && before != i.left[name] {
 		i.replacedAt = clock.Now()
 	}
 	i.newest[name] = incarnation
@@ -37,3 +39,30 @@
 	defer i.mu.Unlock()
 	return i.replacedAt != 0 && clock.Since(i.replacedAt) < silentPeerTimeout
 }
+
+// noteLeft records that an incarnation of an entry has told that it leaves.
+func (i *incarnations) noteLeft(name, incarnation string) {
+	if incarnation == "" {
+		return
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.newest == nil {
+		i.newest = make(map[string]string)
+	}
+	if i.left == nil {
+		i.left = make(map[string]string)
+	}
+	if _, known := i.newest[name]; !known {
+		i.newest[name] = incarnation
+	}
+	i.left[name] = incarnation
+}
+
+// hasLeft reports whether the newest known incarnation of an entry has told that it leaves.
+func (i *incarnations) hasLeft(name string) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	newest := i.newest[name]
+	return newest != "" && i.left[name] == newest
+}
--- a/internal/intake/peers.go
+++ b/internal/intake/peers.go
@@ -140,7 +140,7 @@
 	ready    Peer
 	hasReady bool
 	// pending is set if a peer may be writing the job of the call or may have written it. silent is
-	// set if this may hold for a peer that stopped answering recently or is not known yet, or for an earlier
+	// set if this may hold for a peer that stopped answering recently without leaving or is not known yet, or for an earlier
 	// incarnation of an entry.
 	pending, silent bool
 	// accepted is set if a peer or this entry knows that the job is in the journal.
@@ -183,7 +183,7 @@
 	for i, a := range answers {
 		if a == nil {
 			since, silent := s.silentSince.Load(peers[i].Name)
-			survey.silent = survey.silent || silent && clock.Since(since.(clock.Instant)) < silentPeerTimeout
+			survey.silent = survey.silent || silent && clock.Since(since.(clock.Instant)) < silentPeerTimeout && !s.incarnations.hasLeft(peers[i].Name)
 			continue
 		}
 		survey.pending = survey.pending || a.GetOpen()
@@ -203,11 +203,7 @@
 func (s *Service) Run(ctx context.Context) error {
 	for clock.Pause(ctx, probeInterval) == nil {
 		probes, cancel := context.WithTimeout(ctx, probeInterval)
-		var wg sync.WaitGroup
-		for _, peer := range s.Peers() {
-			wg.Go(func() { s.probe(probes, peer, "") })
-		}
-		wg.Wait()
+		s.probePeers(probes)
 		cancel()
 	}
 	return ctx.Err()
@@ -283,7 +279,7 @@
 func (h Handler) Ready(_ context.Context, r *connect.Request[pb.DeskReadyRequest]) (*connect.Response[pb.DeskReadyResponse], error) {
 	s := h.Service
 	s.incarnations.note(r.Msg.GetEntry(), r.Msg.GetLife())
-	out := &pb.DeskReadyResponse{Ready: s.storeReachable(), Life: s.Incarnation}
+	out := &pb.DeskReadyResponse{Ready: s.storeReachable() && !s.stopping(), Life: s.Incarnation}
 	if id := r.Msg.GetJob(); id != "" {
 		out.Open, out.Accepted = s.known(id)
 		out.Open = out.Open || s.incarnations.replacedRecently()
--- a/internal/intake/service.go
+++ b/internal/intake/service.go
@@ -52,10 +52,13 @@
 	Writer       *journal.Writer
 	// Peers returns the other entries, which may reach the store when this one can't.
 	Peers func() []Peer
-	Log   zerolog.Logger
+	// Stopping reports whether this entry leaves, so that peers pass no calls on to it; nil means never.
+	Stopping func() bool
+	Log      zerolog.Logger
 
 	silentSince  sync.Map // The clock.Instant since which a peer has not answered, by its name.
 	incarnations incarnations
+	introduction sync.Once
 	pending      pendingJobs
 	store        storeProbe
 }
@@ -66,6 +69,8 @@
 	return c != 0 && clock.Since(c) < maxStateAge
 }
 
+func (s *Service) stopping() bool { return s.Stopping != nil && s.Stopping() }
+
 // storeReachable reports whether the store has answered the newest calls of this entry.
 func (s *Service) storeReachable() bool {
 	return s.StateCurrent() && s.Writer.UnavailableFor() == 0 && clock.Since(s.Follower.AnsweredAt()) < maxReadyAge
@@ -151,6 +156,7 @@
 	if err := s.reachStore(ctx); err != nil {
 		return s.appendError("submit", j.ID, err)
 	}
+	s.introduce(ctx)
 	offset, err := s.Writer.Add(ctx, clusterstate.JobRecord(j))
 	if err != nil {
 		s.pending.noteUndecided(j.ID, err)
--- a/proto/sniperill/v1/sniperillv1connect/desk.connect.go
+++ b/proto/sniperill/v1/sniperillv1connect/desk.connect.go
@@ -41,6 +41,8 @@
 	DeskServiceStateProcedure = "/sniperill.v1.DeskService/State"
 	// DeskServiceCancelProcedure is the fully-qualified name of the DeskService's Cancel RPC.
 	DeskServiceCancelProcedure = "/sniperill.v1.DeskService/Cancel"
+	// DeskServiceLeaveProcedure is the fully-qualified name of the DeskService's Leave RPC.
+	DeskServiceLeaveProcedure = "/sniperill.v1.DeskService/Leave"
 )
 
 // DeskServiceClient is a client for the sniperill.v1.DeskService service.
@@ -50,6 +52,8 @@
 	Submit(context.Context, *connect.Request[v1.DeskSubmitRequest]) (*connect.Response[v1.DeskSubmitResponse], error)
 	State(context.Context, *connect.Request[v1.DeskStateRequest]) (*connect.Response[v1.DeskStateResponse], error)
 	Cancel(context.Context, *connect.Request[v1.DeskCancelRequest]) (*connect.Response[v1.DeskCancelResponse], error)
+	// Leave tells that the calling entry has ended all calls, writes nothing any more, and ends.
+	Leave(context.Context, *connect.Request[v1.DeskLeaveRequest]) (*connect.Response[v1.DeskLeaveResponse], error)
 }
 
 // NewDeskServiceClient constructs a client for the sniperill.v1.DeskService service. By default, it
@@ -87,6 +91,12 @@
 			connect.WithSchema(deskServiceMethods.ByName("Cancel")),
 			connect.WithClientOptions(opts...),
 		),
+		leave: connect.NewClient[v1.DeskLeaveRequest, v1.DeskLeaveResponse](
+			httpClient,
+			baseURL+DeskServiceLeaveProcedure,
+			connect.WithSchema(deskServiceMethods.ByName("Leave")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -96,6 +106,7 @@
 	submit *connect.Client[v1.DeskSubmitRequest, v1.DeskSubmitResponse]
 	state  *connect.Client[v1.DeskStateRequest, v1.DeskStateResponse]
 	cancel *connect.Client[v1.DeskCancelRequest, v1.DeskCancelResponse]
+	leave  *connect.Client[v1.DeskLeaveRequest, v1.DeskLeaveResponse]
 }
 
 // Ready calls sniperill.v1.DeskService.Ready.
@@ -118,6 +129,11 @@
 	return c.cancel.CallUnary(ctx, req)
 }
 
+// Leave calls sniperill.v1.DeskService.Leave.
+func (c *deskServiceClient) Leave(ctx context.Context, req *connect.Request[v1.DeskLeaveRequest]) (*connect.Response[v1.DeskLeaveResponse], error) {
+	return c.leave.CallUnary(ctx, req)
+}
+
 // DeskServiceHandler is an implementation of the sniperill.v1.DeskService service.
 type DeskServiceHandler interface {
 	// Ready reports whether the entry reaches the store, and what it knows of a job.
@@ -125,6 +141,8 @@
 	Submit(context.Context, *connect.Request[v1.DeskSubmitRequest]) (*connect.Response[v1.DeskSubmitResponse], error)
 	State(context.Context, *connect.Request[v1.DeskStateRequest]) (*connect.Response[v1.DeskStateResponse], error)
 	Cancel(context.Context, *connect.Request[v1.DeskCancelRequest]) (*connect.Response[v1.DeskCancelResponse], error)
+	// Leave tells that the calling entry has ended all calls, writes nothing any more, and ends.
+	Leave(context.Context, *connect.Request[v1.DeskLeaveRequest]) (*connect.Response[v1.DeskLeaveResponse], error)
 }
 
 // NewDeskServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -158,6 +176,12 @@
 		connect.WithSchema(deskServiceMethods.ByName("Cancel")),
 		connect.WithHandlerOptions(opts...),
 	)
+	deskServiceLeaveHandler := connect.NewUnaryHandler(
+		DeskServiceLeaveProcedure,
+		svc.Leave,
+		connect.WithSchema(deskServiceMethods.ByName("Leave")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/sniperill.v1.DeskService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case DeskServiceReadyProcedure:
@@ -168,6 +192,8 @@
 			deskServiceStateHandler.ServeHTTP(w, r)
 		case DeskServiceCancelProcedure:
 			deskServiceCancelHandler.ServeHTTP(w, r)
+		case DeskServiceLeaveProcedure:
+			deskServiceLeaveHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -192,3 +218,7 @@
 func (UnimplementedDeskServiceHandler) Cancel(context.Context, *connect.Request[v1.DeskCancelRequest]) (*connect.Response[v1.DeskCancelResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("sniperill.v1.DeskService.Cancel is not implemented"))
 }
+
+func (UnimplementedDeskServiceHandler) Leave(context.Context, *connect.Request[v1.DeskLeaveRequest]) (*connect.Response[v1.DeskLeaveResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("sniperill.v1.DeskService.Leave is not implemented"))
+}
