intake: an entry that leaves tells so however its calls ended

Once its writer has stopped it can write nothing; calls that are still in progress are told as undecided. The error of the group couldn't tell whether all calls had ended, as the planner's end comes first.

--- a/internal/dispatch/submit_test.go
+++ b/internal/dispatch/submit_test.go
@@ -393,6 +393,15 @@
 				c.store.SetFault(standin.StoreSilent)
 			},
 		},
+		{
+			name: "its call of the job is in progress", want: intake.ErrUndecided,
+			before: func(c *cluster, leaving, _ *entry) {
+				c.store.SetFault(standin.StoreAppendsSilent)
+				go func() { _ = c.submitAt(leaving, "a", "red", "batch", task(1, 1)) }()
+				time.Sleep(100 * time.Millisecond)
+				c.store.SetFault(standin.StoreSilent)
+			},
+		},
 		{
 			name: "it has accepted the job, which the other has not read", restart: true,
 			before: func(c *cluster, leaving, other *entry) {
--- a/internal/intake/leave.go
+++ b/internal/intake/leave.go
@@ -18,8 +18,8 @@
 )
 
 // Leave tells the peers that this process writes nothing any more, and which jobs it may have written that they may
-// not know of. Call it once all calls have ended and the writer has stopped. A peer that doesn't hear of it
-// refuses nothing for silentPeerTimeout while the store is away.
+// not know of. Call it once the writer has stopped; calls that are still in progress count as undecided then. A peer
+// that doesn't hear of it refuses nothing for silentPeerTimeout while the store is away.
 func (s *Service) Leave(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
--- a/proto/sniperill/v1/sniperillv1connect/desk.connect.go
+++ b/proto/sniperill/v1/sniperillv1connect/desk.connect.go
@@ -52,7 +52,7 @@
 	Submit(context.Context, *connect.Request[v1.DeskSubmitRequest]) (*connect.Response[v1.DeskSubmitResponse], error)
 	State(context.Context, *connect.Request[v1.DeskStateRequest]) (*connect.Response[v1.DeskStateResponse], error)
 	Cancel(context.Context, *connect.Request[v1.DeskCancelRequest]) (*connect.Response[v1.DeskCancelResponse], error)
-	// Leave tells that the calling entry has ended all calls, writes nothing any more, and ends.
+	// Leave tells that the calling entry writes nothing any more, and ends.
 	Leave(context.Context, *connect.Request[v1.DeskLeaveRequest]) (*connect.Response[v1.DeskLeaveResponse], error)
 }
 
@@ -141,7 +141,7 @@
 	Submit(context.Context, *connect.Request[v1.DeskSubmitRequest]) (*connect.Response[v1.DeskSubmitResponse], error)
 	State(context.Context, *connect.Request[v1.DeskStateRequest]) (*connect.Response[v1.DeskStateResponse], error)
 	Cancel(context.Context, *connect.Request[v1.DeskCancelRequest]) (*connect.Response[v1.DeskCancelResponse], error)
-	// Leave tells that the calling entry has ended all calls, writes nothing any more, and ends.
+	// Leave tells that the calling entry writes nothing any more, and ends.
 	Leave(context.Context, *connect.Request[v1.DeskLeaveRequest]) (*connect.Response[v1.DeskLeaveResponse], error)
 }
 
