--- a/internal/intake/leave.go
+++ b/internal/intake/leave.go
@@ -49,8 +49,8 @@
 	return connect.NewResponse(&pb.DeskLeaveResponse{}), nil
 }
 
-// introduce calls all peers once, before this entry writes the first job: a peer that was told that an earlier
-// incarnation left must not take this one for it.
+// introduce calls all peers once, before this entry writes the first job, which waits for that: a peer that was told
+// that an earlier incarnation left must not take this one for it.
 func (s *Service) introduce(ctx context.Context) {
 	if s.Follower.CaughtUpAt() == 0 {
 		return // The peers are not known yet.
--- a/internal/intake/peers.go
+++ b/internal/intake/peers.go
@@ -32,6 +32,9 @@
 	peerTimeout = 700 * time.Millisecond
 	// probeTimeout bounds a probe of whether a peer reaches the store. A probe takes 2 ms.
 	probeTimeout = 150 * time.Millisecond
+	// introductionDelay is the time between two looks whether the peers are known, after which they are
+	// probed for the first time. A load balancer sends the first calls 1 s after a start.
+	introductionDelay = 20 * time.Millisecond
 	// probeInterval is the time between two regular probes of a peer.
 	probeInterval = time.Second
 	// silentPeerTimeout is how long a peer that no longer answers may have an undecided write of a
@@ -201,6 +204,10 @@
 // Run probes all peers regularly, so that the service knows which are silent and for how long. It
 // ends with ctx.
 func (s *Service) Run(ctx context.Context) error {
+	for s.Follower.CaughtUpAt() == 0 && clock.Pause(ctx, introductionDelay) == nil {
+		continue
+	}
+	s.introduce(ctx)
 	for clock.Pause(ctx, probeInterval) == nil {
 		probes, cancel := context.WithTimeout(ctx, probeInterval)
 		s.probePeers(probes)
