schedule: the test of cold workers fails for patient work, too

Cause: the cold workers of its patient cases were those that come first anyway. Change: they are the last ones.

--- a/internal/schedule/pace_test.go
+++ b/internal/schedule/pace_test.go
@@ -114,14 +114,15 @@
 		name     string
 		priority int
 		members  int
-		cold     time.Duration // Of the first three of six workers.
+		first    int // Of three of the six workers, which are cold.
+		cold     time.Duration
 		want     []int
 	}{
-		{"urgent work", 0, 3, 4 * time.Second, []int{3, 4, 5}},
-		{"urgent work beyond the warm ones", 0, 4, 4 * time.Second, []int{0, 3, 4, 5}},
-		{"urgent work, almost warm", 0, 3, 100 * time.Millisecond, []int{0, 1, 2}},
-		{"patient work", 1, 1, 4 * time.Second, []int{0}},
-		{"a patient gang", 1, 3, 4 * time.Second, []int{0, 1, 2}},
+		{"urgent work", 0, 3, 0, 4 * time.Second, []int{3, 4, 5}},
+		{"urgent work beyond the warm ones", 0, 4, 0, 4 * time.Second, []int{0, 3, 4, 5}},
+		{"urgent work, almost warm", 0, 3, 0, 100 * time.Millisecond, []int{0, 1, 2}},
+		{"patient work", 1, 1, 3, 4 * time.Second, []int{3}},
+		{"a patient gang", 1, 3, 3, 4 * time.Second, []int{3, 4, 5}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -131,7 +132,7 @@
 			w.Priority = tt.priority
 			v := &schedule.View{Now: testStart.Add(11e9), Workers: newWorkers(6), SpreadCounts: make([]map[int]int, 1), Waiting: []schedule.WaitingUnit{w}}
 			for i := range 3 {
-				v.Workers[i].Cold = tt.cold
+				v.Workers[tt.first+i].Cold = tt.cold
 			}
 			plan := schedule.ComputePlan(v)
 			if len(plan.Starts) != 1 {
