--- a/cmd/sniperill/checkrules_test.go
+++ b/cmd/sniperill/checkrules_test.go
@@ -8,10 +8,6 @@
 	"testing"
 )
 
-const rulesInForce = `{"version": 7, "services": [{"name": "desk"}],
- "routes": [{"name": "quotes", "host": "desk.example", "path_prefix": "/quotes/", "service": "desk", "stretch": 1.5, "target_duration_ms": 250, "timeout_ms": 3000}],
- "tenants": [{"name": "north", "api_keys": ["b9wu3fexd9", "89anu6wsjn"], "guaranteed": {"gpus": 8}}]}`
-
 func TestCheckRules(t *testing.T) {
 	folder := t.TempDir()
 	write := func(name, text string) string {
@@ -21,8 +17,12 @@
 		}
 		return file
 	}
-	inForce := write("in-force.json", rulesInForce)
-	newer := strings.Replace(rulesInForce, `"version": 7`, `"version": 8`, 1)
+	inForce := filepath.Join("..", "..", "platform", "testdata", "configuration.json")
+	data, err := os.ReadFile(inForce)
+	if err != nil {
+		t.Fatal(err)
+	}
+	newer := strings.Replace(string(data), `"version": 7`, `"version": 8`, 1)
 	tests := []struct {
 		name, text       string
 		status           int
