dispatch: plans go by a pace until it has changed by a tenth

Change: the planner goes by the pace before until the new one differs by a tenth. Progress that an agent of an earlier version reports isn't counted, as it doesn't tell when it was read; runs whose end no report tells are forgotten.

--- a/internal/dispatch/active.go
+++ b/internal/dispatch/active.go
@@ -74,7 +74,7 @@
 		},
 		changedJobs: make(map[string]bool), jobs: make(map[string]*job),
 		workers: make(map[string]*worker), members: make(map[string]*member),
-		learner: learner{runs: make(map[*member]*runProgress), classes: make(map[string]int)},
+		learner: learner{runs: make(map[*member]*runProgress), told: make(map[string]float64)},
 	}
 }
 
--- a/internal/dispatch/learn.go
+++ b/internal/dispatch/learn.go
@@ -22,13 +22,18 @@
 	minProgress = 4
 	// minProgressBetween is the same between two reports, each of which is in whole percents.
 	minProgressBetween = 10
+	// maxEndedRuns is how many runs that have ended are kept beside those of as many members as there are.
+	maxEndedRuns = 64
 	// minProgressTime is the least time that it must have taken, as a start's answer may be late by some of it.
 	minProgressTime = 250 * time.Millisecond
 	// storeInterval is the least time between two stores of the workers' paces. A loss of power costs at most what
 	// was learned since.
 	storeInterval = 5 * time.Second
-	// storedChange is the change of the logarithm of a pace that is worth storing: a third of a class.
+	// storedChange is the change of the logarithm of a pace that is worth storing: half of a class.
 	storedChange = 0.1
+	// toldChange is the change of it from which on plans go by the new one, so that a machine on the border of two
+	// classes doesn't change between them all the time.
+	toldChange = 0.1
 )
 
 // learner learns the paces of the workers from the progress and the ends of their runs.
@@ -37,7 +42,7 @@
 	runs     map[*member]*runProgress
 	readings []pace.Reading // Since the newest estimate.
 	fittedAt clock.Instant
-	classes  map[string]int // Of the machines, as they were logged.
+	told     map[string]float64 // The machines' paces that plans go by.
 	stored   map[string]pace.Known
 	storedAt clock.Instant
 }
@@ -136,34 +141,44 @@
 // learn updates the paces of the workers by the newest readings.
 func (ap *activePlanner) learn(now clock.Instant) {
 	l := &ap.learner
+	if len(l.runs) > 2*len(ap.members)+maxEndedRuns { // Of some, the end is known without a report.
+		maps.DeleteFunc(l.runs, func(m *member, _ *runProgress) bool { return ap.members[m.task] != m })
+	}
 	if len(l.readings) == 0 || now.Sub(l.fittedAt) < learnInterval {
 		return
 	}
-	maps.DeleteFunc(l.runs, func(m *member, _ *runProgress) bool { return ap.members[m.task] != m })
 	timed(paceDuration, func() { l.paces = l.paces.With(now, l.readings...) })
 	l.readings, l.fittedAt = nil, now
-	ap.showClasses()
+	ap.tell()
 }
 
 // slowestPace returns the pace of the slowest of the workers that a run was placed on.
 func (ap *activePlanner) slowestPace(idx *viewIndex, workers []int) float64 {
 	slowest := 0.0
 	for _, i := range workers {
-		slowest = max(slowest, cmp.Or(ap.learner.paces.Of(idx.workers[i].machineName()), 1))
+		slowest = max(slowest, cmp.Or(ap.learner.told[idx.workers[i].machineName()], 1))
 	}
 	return math.Round(100*slowest) / 100
 }
 
-// showClasses logs which workers have got into another class of paces, and counts the workers by their classes.
-func (ap *activePlanner) showClasses() {
+// tell updates the paces that plans go by, logs which workers have got into another class, and counts the workers by
+// their classes.
+func (ap *activePlanner) tell() {
 	l := &ap.learner
 	var fast, median, slow, unknown float64
 	for _, w := range ap.sortedWorkers() {
 		machine := w.machineName()
-		p := l.paces.Of(machine)
-		class := pace.Class(p)
+		before, now := l.told[machine], l.paces.Of(machine)
 		switch {
-		case p == 0:
+		case before > 0 && now > 0 && math.Abs(math.Log(now/before)) < toldChange:
+			now = before
+		case pace.Class(now) != pace.Class(before):
+			ap.Log.Info().Str("node", w.name).Str("machine", machine).Float64("pace", math.Round(100*now)/100).
+				Int("class", pace.Class(now)).Msg("A worker's pace has changed.")
+		}
+		l.told[machine] = now
+		switch class := pace.Class(now); {
+		case now == 0:
 			unknown++
 		case class < 0:
 			fast++
@@ -172,11 +187,6 @@
 		default:
 			slow++
 		}
-		if l.classes[machine] != class {
-			l.classes[machine] = class
-			ap.Log.Info().Str("node", w.name).Str("machine", machine).Float64("pace", math.Round(100*p)/100).Int("class", class).
-				Msg("A worker's pace has changed.")
-		}
 	}
 	fastWorkers.Set(fast)
 	medianWorkers.Set(median)
@@ -188,6 +198,9 @@
 func (l *learner) load(stored map[string]pace.Known) {
 	l.stored = stored
 	l.paces = l.paces.WithStored(stored)
+	for machine := range stored {
+		l.told[machine] = l.paces.Of(machine)
+	}
 }
 
 // paceRecords returns the records of the paces that have changed noticeably since they were stored. Nothing is
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -130,7 +130,7 @@
 			Worker:      w.hardware,
 			Schedulable: !w.draining && !w.unreachable && now.Sub(w.receivedAt) < maxReportAge && !evacuations.Evacuated(w.zone),
 			Paused:      now < w.pausedUntil,
-			Pace:        ap.learner.paces.Of(w.machineName()),
+			Pace:        ap.learner.told[w.machineName()],
 			Cold:        max(0, w.coldUntil.Sub(now)),
 		})
 	}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -54,7 +54,11 @@
 			m.stopInCurrentLifetime() // Before the report's ends are applied: they may have its run.
 		}
 	}
-	ap.applyRunning(w, m.GetRunning(), observed, now.Add(-m.GetLookedAgo().AsDuration()))
+	listedAt := clock.Instant(0) // An agent of an earlier version doesn't tell.
+	if ago := m.GetLookedAgo(); ago != nil {
+		listedAt = now.Add(-ago.AsDuration())
+	}
+	ap.applyRunning(w, m.GetRunning(), observed, listedAt)
 	before := w.appliedEnds.number
 	for _, e := range m.GetEnded() {
 		ap.applyEnd(w, e)
@@ -102,7 +106,7 @@
 const maxReportInterval = watchWait + watchRetryDelay
 
 // applyRunning applies the list of running tasks of a report, given the time for which it tells
-// whether they made progress, and when the worker gave the list.
+// whether they made progress, and when the worker gave the list, if that is known.
 func (ap *activePlanner) applyRunning(w *worker, tasks []*pb.RunningTask, observed time.Duration, listedAt clock.Instant) {
 	for _, t := range tasks {
 		m, ok := ap.members[t.GetTask()]
@@ -118,7 +122,7 @@
 			m.lateUntil = 0
 		}
 		m.report(int(t.GetPercent()), clock.Now(), observed)
-		if t.GetListed() {
+		if t.GetListed() && listedAt != 0 {
 			ap.noteProgress(m, int(t.GetPercent()), listedAt)
 		}
 		if t.GetCheckpoint() != "" {
