intake: an entry that has left counts as gone only while nothing listens at its address

Cause: a peer that couldn't reach the next incarnation took it for the one that had left, and refused a job as not run whose write that incarnation had open. Change: for each job it asks the address of an entry that has left; only a refused connection shows that nothing runs there. Result: the new test fails on the code before: the job was refused.

--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -58,6 +59,7 @@
 	pauses        sync.Map // *pause by the name of the process.
 	// operators, if set, has the operators' records, which entries follow. Then workers are in two zones by turns.
 	operators *standin.Store
+	cutOff    sync.Map // Names of entries that other entries can't reach, nor they them.
 }
 
 // pause is a time in which a process doesn't run, as far as others can tell: its calls and answers go out, and
@@ -119,6 +121,7 @@
 	killed    <-chan struct{} // Closed when it is killed.
 	stop      context.CancelFunc
 	stopped   chan struct{}
+	left      atomic.Bool // It has ended as told, so that nothing listens at its address.
 	storeLink storeLink
 	agents    *agentTable
 	// operatorsLink is the connection to the store with the operators' records.
@@ -783,13 +786,17 @@
 // peerClient is a client of another entry.
 type peerClient struct {
 	intake.Handler
-	killed <-chan struct{}
+	entry *entry
+	// cutOff reports whether the caller or the entry is cut off from all other entries.
+	cutOff func() bool
 }
 
-// Ready calls the entry, or blocks until ctx ends if the entry was killed.
+// Ready calls the entry. It blocks until ctx ends if the entry was killed or can't be reached.
 func (c peerClient) Ready(ctx context.Context, r *connect.Request[pb.DeskReadyRequest]) (*connect.Response[pb.DeskReadyResponse], error) {
-	select {
-	case <-c.killed:
+	switch {
+	case !c.cutOff() && c.entry.left.Load():
+		return nil, connect.NewError(connect.CodeUnavailable, syscall.ECONNREFUSED)
+	case c.cutOff(), isClosed(c.entry.killed):
 		<-ctx.Done()
 		return nil, ctx.Err()
 	default:
@@ -809,7 +816,11 @@
 		registered := e.state.Entries()
 		for _, o := range c.entries {
 			if o != e && slices.ContainsFunc(registered, func(a clusterstate.Address) bool { return a.Name == o.name }) {
-				out = append(out, intake.Peer{Name: o.name, Client: peerClient{intake.Handler{Service: o.intake}, o.killed}})
+				out = append(out, intake.Peer{Name: o.name, Client: peerClient{intake.Handler{Service: o.intake}, o, func() bool {
+					_, caller := c.cutOff.Load(e.name)
+					_, called := c.cutOff.Load(o.name)
+					return caller || called
+				}}})
 			}
 		}
 		return out
@@ -1018,6 +1029,7 @@
 	e.stop()
 	<-e.stopped
 	e.intake.Leave(c.ctx)
+	e.left.Store(true)
 	e.kill()
 }
 
--- a/internal/dispatch/submit_test.go
+++ b/internal/dispatch/submit_test.go
@@ -435,6 +435,24 @@
 	}
 }
 
+// An entry leaves and starts again, cut off from the others, and its write of a job is open.
+func TestJobOfUnreachableEntryThatLeftBeforeIsNotRefused(t *testing.T) {
+	withVirtualTime(t, func(t *testing.T) {
+		c := newCluster(t, 3, 2)
+		time.Sleep(3 * time.Second)
+		c.leaveEntry(c.entries[0])
+		c.cutOff.Store(c.entries[0].name, true)
+		c.restartEntry(c.entries[0])
+		time.Sleep(500 * time.Millisecond)
+		c.store.SetFault(standin.StoreAppendsSilent)
+		_ = c.submitAt(c.entries[0], "open", "red", "batch", task(1, 1))
+		c.store.SetFault(standin.StoreSilent)
+		if err := c.submitAt(c.entries[1], "open", "red", "batch", task(1, 1)); !errors.Is(err, intake.ErrUndecided) {
+			t.Errorf("submit: %v, want %v", err, intake.ErrUndecided)
+		}
+	})
+}
+
 // An entry leaves, starts again, and is killed while its write is open, before any regular probe.
 func TestJobOfEntryKilledAfterItLeftIsNotRefused(t *testing.T) {
 	withVirtualTime(t, func(t *testing.T) {
--- a/internal/intake/leave.go
+++ b/internal/intake/leave.go
@@ -66,7 +66,7 @@
 func (s *Service) probePeers(ctx context.Context) {
 	var wg sync.WaitGroup
 	for _, peer := range s.Peers() {
-		wg.Go(func() { s.probe(ctx, peer, "") })
+		wg.Go(func() { _, _ = s.probe(ctx, peer, "") }) // It notes a failure.
 	}
 	wg.Wait()
 }
--- a/internal/intake/peers.go
+++ b/internal/intake/peers.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"connectrpc.com/connect"
@@ -174,11 +175,19 @@
 	defer cancel()
 	peers := s.Peers()
 	answers := make([]*pb.DeskReadyResponse, len(peers))
+	gone := make([]bool, len(peers)) // It has left, and nothing runs at its address.
 	var wg sync.WaitGroup
 	for i, peer := range peers {
-		if _, silent := s.silentSince.Load(peer.Name); !silent {
-			wg.Go(func() { answers[i] = s.probe(ctx, peer, job) })
+		left := s.incarnations.hasLeft(peer.Name)
+		if _, silent := s.silentSince.Load(peer.Name); silent && !left {
+			continue
 		}
+		wg.Go(func() {
+			var err error
+			answers[i], err = s.probe(ctx, peer, job)
+			// A next incarnation that can't be reached may be writing the job.
+			gone[i] = left && errors.Is(err, syscall.ECONNREFUSED)
+		})
 	}
 	wg.Wait()
 	// An entry doesn't know its peers until it has read the journal to its end.
@@ -186,7 +195,7 @@
 	for i, a := range answers {
 		if a == nil {
 			since, silent := s.silentSince.Load(peers[i].Name)
-			survey.silent = survey.silent || silent && clock.Since(since.(clock.Instant)) < silentPeerTimeout && !s.incarnations.hasLeft(peers[i].Name)
+			survey.silent = survey.silent || silent && clock.Since(since.(clock.Instant)) < silentPeerTimeout && !gone[i]
 			continue
 		}
 		survey.pending = survey.pending || a.GetOpen()
@@ -216,24 +225,23 @@
 	return ctx.Err()
 }
 
-// probe asks one peer whether it is ready and what it knows of a job. It returns nil if the peer
-// doesn't answer.
-func (s *Service) probe(ctx context.Context, peer Peer, job string) *pb.DeskReadyResponse {
+// probe asks one peer whether it is ready and what it knows of a job. It fails if the peer doesn't answer.
+func (s *Service) probe(ctx context.Context, peer Peer, job string) (*pb.DeskReadyResponse, error) {
 	resp, err := peer.Client.Ready(ctx, connect.NewRequest(&pb.DeskReadyRequest{Job: job, Entry: s.Name, Life: s.Incarnation}))
 	if errors.Is(ctx.Err(), context.Canceled) {
-		return nil // This process is shutting down.
+		return nil, ctx.Err() // This process is shutting down.
 	}
 	if err != nil {
 		if _, before := s.silentSince.LoadOrStore(peer.Name, clock.Now()); !before {
 			s.Log.Warn().Err(err).Str("peer", peer.Name).Msg("Lost a peer.")
 		}
-		return nil
+		return nil, err
 	}
 	s.incarnations.note(peer.Name, resp.Msg.GetLife()) // Before it stops counting as silent.
 	if since, ok := s.silentSince.LoadAndDelete(peer.Name); ok {
 		s.Log.Info().Str("peer", peer.Name).Dur("silent", clock.Since(since.(clock.Instant))).Msg("A peer is back.")
 	}
-	return resp.Msg
+	return resp.Msg, nil
 }
 
 // forwardTo makes the call at the given peer.
