--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -183,8 +183,10 @@
 func TestPacesDoNotDrift(t *testing.T) {
 	const short, long = 8 * time.Second, 12 * time.Second
 	readings := []pace.Reading{
-		{Group: "a", Run: "a0", Machine: "m-0", RunTime: short}, {Group: "a", Run: "a1", Machine: "m-1", RunTime: long},
-		{Group: "b", Run: "b0", Machine: "m-0", RunTime: long}, {Group: "b", Run: "b1", Machine: "m-1", RunTime: short},
+		{Group: "a", Run: "a0", Machine: "m-0", RunTime: short},
+		{Group: "a", Run: "a1", Machine: "m-1", RunTime: long},
+		{Group: "b", Run: "b0", Machine: "m-0", RunTime: long},
+		{Group: "b", Run: "b1", Machine: "m-1", RunTime: short},
 	}
 	for i := range 6 {
 		readings = append(readings, pace.Reading{Group: "c", Run: fmt.Sprint("c", i), Machine: machineName(2 + i), RunTime: short})
