--- a/internal/schedule/pace.go
+++ b/internal/schedule/pace.go
@@ -8,8 +8,9 @@
 	"sniperill.example/sniperill/internal/pace"
 )
 
-// initClasses divides the workers into classes by their paces, as long as they are cold by slower ones. A worker that isn't known is taken to be as fast as
-// the known ones are on average, so that it comes after the fast ones for a gang, which ends with its slowest member.
+// initClasses divides the workers into classes by their paces; cold ones count as slower. A worker that isn't known is
+// taken to be as fast as the known ones are on average, so that it comes after the fast ones for a gang, which ends with
+// its slowest member.
 func (p *planner) initClasses() {
 	sum, known := 0.0, 0
 	for i := range p.Workers {
@@ -147,5 +148,5 @@
 	if p.reservationFits(w) {
 		return w.ReservedWorkers
 	}
-	return p.preemptWithin(i, maxPreemptionCostRatio*w.coreSeconds())
+	return p.preemptWithin(i, w.maxPreemptionCost())
 }
