--- a/internal/dispatch/giveway_test.go
+++ b/internal/dispatch/giveway_test.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"sniperill.example/sniperill/pkg/shop"
-	"sniperill.example/sniperill/pkg/workflow"
 )
 
 // A stop saves what a task that checkpoints has done, so it gives way before one that would lose little.
@@ -31,11 +30,10 @@
 func TestPreemptionsForOneTaskAddUp(t *testing.T) {
 	withVirtualTime(t, func(t *testing.T) {
 		c := newCluster(t, 2, 2)
-		c.rules.Teams = []workflow.Team{{Name: "red", Guaranteed: 8}}
 		time.Sleep(3 * time.Second)
 		c.submit("batch", "green", "batch", many(task(30, 8), 2))
 		time.Sleep(3 * time.Second)
-		c.submit("beyond", "blue", "urgent", task(2, 8))
+		c.submit("beyond", "green", "urgent", task(2, 8))
 		time.Sleep(50 * time.Millisecond)
 		c.submit("within", "red", "urgent", task(2, 8)) // It takes the room that the first batch task leaves.
 		c.await(6*time.Second, shop.Done, "within", "beyond")
