pace: the paces that are found are bounded

Change: a pace is between a twentieth and twenty times the median. Result: the new test fails without the bound.

--- a/internal/clusterstate/paces.go
+++ b/internal/clusterstate/paces.go
@@ -19,8 +19,6 @@
 	PaceBlocks = 16
 	// MaxPaces is the maximum number of machines in one of them.
 	MaxPaces = 512
-	// maxLogPace is more than the logarithm of the pace of any machine that does any work.
-	maxLogPace = 8
 	// paceScale is the reciprocal of the precision with which logarithms of paces are stored.
 	paceScale = 100
 	// maxMachine is the maximum length of a machine's name, in bytes.
@@ -70,7 +68,7 @@
 	}
 	known := make(map[string]pace.Known, len(stored))
 	for machine, p := range stored {
-		if machine == "" || len(machine) > maxMachine || p[0] < -maxLogPace*paceScale || p[0] > maxLogPace*paceScale || p[1] < 1 {
+		if machine == "" || len(machine) > maxMachine || p[0] < -pace.MaxLogPace*paceScale || p[0] > pace.MaxLogPace*paceScale || p[1] < 1 {
 			return fmt.Errorf("%w: pace %v of machine %q", errOther, p, machine)
 		}
 		known[machine] = pace.Known{LogPace: float64(p[0]) / paceScale, Readings: p[1]}
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -39,6 +39,9 @@
 	// maxDeviation bounds what one machine adds to the spread of the paces. Some tasks take several times as
 	// long as their siblings, which says nothing about their machines.
 	maxDeviation = 0.7
+	// MaxLogPace is the largest logarithm of a pace, and its negative the smallest: a machine that takes twenty times as
+	// long as others is broken rather than slow, and what says more is odd.
+	MaxLogPace = 3
 	// rounds is how often work and paces are estimated in turn. Changes are small after the third time.
 	rounds = 3
 	// maxOwnShare is the number of a group's readings from which on a machine's own one changes their median little.
@@ -243,7 +246,7 @@
 	}
 	median, _ := medians(values)
 	for machine, k := range known {
-		known[machine] = Known{k.LogPace - median, k.Readings}
+		known[machine] = Known{max(-MaxLogPace, min(MaxLogPace, k.LogPace-median)), k.Readings}
 	}
 	return known
 }
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -206,3 +206,18 @@
 		}
 	}
 }
+
+// Odd readings, as of tasks that stood still, give paces that can be stored.
+func TestPacesAreBounded(t *testing.T) {
+	var readings []pace.Reading
+	for job := range 5 {
+		for i, d := range []time.Duration{time.Second, time.Second, 1e9 * time.Second, time.Nanosecond} {
+			readings = append(readings, pace.Reading{Group: fmt.Sprint(job), Run: fmt.Sprint(i), Machine: machineName(i), RunTime: d, At: 1})
+		}
+	}
+	for machine, k := range (pace.Paces{}).With(1, readings...).Known() {
+		if math.Abs(k.LogPace) > pace.MaxLogPace {
+			t.Errorf("machine %s has the logarithm %.1f, want at most %d", machine, k.LogPace, pace.MaxLogPace)
+		}
+	}
+}
