--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -135,6 +135,7 @@
 	machine    standin.Machine
 	kill       context.CancelFunc
 	heartbeats atomic.Int64
+	coldFor    atomic.Int64                     // What its worker's heartbeats say, in nanoseconds.
 	mute       atomic.Bool                      // The worker sends no heartbeats.
 	pause      *pause                           // Of the process; nil if it is never paused.
 	network    *network                         // Between the process and the worker.
@@ -896,7 +897,9 @@
 	go func() {
 		for running.Err() == nil {
 			if !a.mute.Load() {
-				_ = agent.Heartbeat(running, a.machine.Executor().Heartbeat("s", rack, a.heartbeats.Add(1)))
+				heartbeat := a.machine.Executor().Heartbeat("s", rack, a.heartbeats.Add(1))
+				heartbeat.ColdRemaining = time.Duration(a.coldFor.Load())
+				_ = agent.Heartbeat(running, heartbeat)
 			}
 			if clock.Pause(running, 1500*time.Millisecond) != nil {
 				return
--- a/internal/dispatch/learn.go
+++ b/internal/dispatch/learn.go
@@ -94,7 +94,7 @@
 func (ap *activePlanner) noteEnd(m *member, end host.End) {
 	r := ap.learner.runs[m]
 	delete(ap.learner.runs, m)
-	if r == nil || !r.started || end != host.Done || m.key.IsGang() || m.step().Endless {
+	if r == nil || !r.started || r.skewed || end != host.Done || m.key.IsGang() || m.step().Endless {
 		return // The members of a gang end together.
 	}
 	now := clock.Now()
--- a/internal/dispatch/learn_test.go
+++ b/internal/dispatch/learn_test.go
@@ -100,6 +100,27 @@
 	})
 }
 
+// Runs that begin while their worker is cold, and so slow for a while, say nothing about its pace.
+func TestColdWorkersAreNotTakenAsSlow(t *testing.T) {
+	withVirtualTime(t, func(t *testing.T) {
+		c, _ := newUnevenCluster(t, 6, "worker-1", "worker-4")
+		for _, a := range c.agents {
+			if a.name == "worker-1" || a.name == "worker-4" {
+				a.coldFor.Store(int64(time.Minute))
+			}
+		}
+		time.Sleep(3 * time.Second)
+		c.submit("a", "red", "batch", many(task(2, 8), 30))
+		c.await(60*time.Second, shop.Done, "a")
+		time.Sleep(6 * time.Second)
+		for _, r := range c.store.Records() {
+			if strings.HasPrefix(r.Key, "pace/") {
+				t.Errorf("record %q was stored: %s", r.Key, r.Value)
+			}
+		}
+	})
+}
+
 // Nothing is stored as long as all workers are alike.
 func TestPacesOfLikeWorkersAreNotStored(t *testing.T) {
 	withVirtualTime(t, func(t *testing.T) {
