--- a/cmd/sniperill/change.go
+++ b/cmd/sniperill/change.go
@@ -67,6 +67,11 @@
 			return fmt.Errorf("change: %s: %w JSON", c.Args().Get(1), shop.ErrInvalid)
 		}
 	}
+	return changeObject(ctx, c, client, o)
+}
+
+// changeObject changes one object of the configuration in force and prints what has changed.
+func changeObject(ctx context.Context, c *cli.Command, client *operator.Client, o operator.Object) error {
 	before, err := currentConfig(ctx, client)
 	if err != nil {
 		return trace.Wrap(err)
--- a/cmd/sniperill/evacuate.go
+++ b/cmd/sniperill/evacuate.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 
-	"github.com/gravitational/trace"
 	"github.com/urfave/cli/v3"
 
 	"sniperill.example/sniperill/pkg/operator"
-	"sniperill.example/sniperill/pkg/shop"
 )
 
 const helpEvacuate = `Empties an availability zone: no job and no request starts there any more, and what
@@ -35,21 +33,5 @@
 	if !c.Bool("end") {
 		o.JSON = []byte("{}")
 	}
-	before, err := currentConfig(ctx, client)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	out := applyResult{Base: before.Version}
-	if c.IsSet("base") {
-		out.Base = c.Uint64("base")
-	}
-	out.Version, err = client.Change(ctx, o, out.Base, "")
-	if err == nil {
-		after, configErr := client.Config(ctx)
-		if configErr != nil {
-			return configErr
-		}
-		out.Changes = shop.Diff(before.Config, after.Config)
-	}
-	return printApplyResult(c, out, err)
+	return changeObject(ctx, c, client, o)
 }
