--- a/internal/dispatch/submit_test.go
+++ b/internal/dispatch/submit_test.go
@@ -253,6 +253,50 @@
 	})
 }
 
+// An entry that reaches neither the store nor some of the others, for seconds, can't tell whether these are gone or it is
+// cut off itself, as by a crowd that takes all its processor time. They take jobs meanwhile.
+func TestEntryCutOffFromStoreAndPeersRefusesNoJob(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		duration time.Duration
+		together bool // Another entry is cut off with it, so that it hears that one.
+	}{
+		{"for a moment", 2 * time.Second, false},
+		{"for long", 8 * time.Second, false},
+		{"for long, with another", 8 * time.Second, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			withVirtualTime(t, func(t *testing.T) {
+				c := newCluster(t, 3, 2)
+				time.Sleep(3 * time.Second)
+				accepts, cut, also := c.entries[0], c.entries[1], c.entries[2]
+				apart := cut
+				if tt.together {
+					apart = accepts
+				}
+				c.cutOff.Store(apart.name, true)
+				cut.storeLink.setDisconnected(true)
+				also.storeLink.setDisconnected(tt.together)
+				time.Sleep(tt.duration)
+				if err := c.submitAt(accepts, "a", "red", "batch", task(1, 1)); err != nil {
+					t.Fatal(err)
+				}
+				if err := c.submitAt(cut, "a", "red", "batch", task(1, 1)); !errors.Is(err, intake.ErrUndecided) {
+					t.Errorf("submit again at the entry that is cut off: %v, want %v", err, intake.ErrUndecided)
+				}
+				c.cutOff.Delete(apart.name)
+				cut.storeLink.setDisconnected(false)
+				also.storeLink.setDisconnected(false)
+				if err := c.submitAt(cut, "a", "red", "batch", task(1, 1)); err != nil {
+					t.Errorf("submit once more, with the links back: %v", err)
+				}
+				c.await(10*time.Second, shop.Done, "a")
+				c.checkStartedOnce("a.0.0.0")
+			})
+		})
+	}
+}
+
 // An entry that has just started knows neither jobs nor peers until it has read the journal,
 // and must not refuse a job until then.
 func TestEntryBehindJournalRefusesNothing(t *testing.T) {
--- a/internal/intake/peers.go
+++ b/internal/intake/peers.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -38,9 +39,9 @@
 	introductionDelay = 20 * time.Millisecond
 	// probeInterval is the time between two regular probes of a peer.
 	probeInterval = time.Second
-	// silentPeerTimeout is how long a peer that no longer answers may have an undecided write of a
-	// job whose caller still retries. Callers give up after 3 s, and the last successful probe may
-	// have come just before the peer stopped answering.
+	// silentPeerTimeout is how long a peer that is gone may have an undecided write of a job whose
+	// caller still retries. Callers give up after 3 s, and the last successful probe may have come
+	// just before the peer stopped answering.
 	silentPeerTimeout = 3*time.Second + probeInterval
 )
 
@@ -192,10 +193,13 @@
 	wg.Wait()
 	// An entry doesn't know its peers until it has read the journal to its end.
 	survey := peerSurvey{silent: s.Follower.CaughtUpAt() == 0 || s.incarnations.replacedRecently()}
+	// Without a reader of the journal, a peer that has been silent for long may be accepting jobs, out of touch with these
+	// entries only.
+	upToDate := s.StateCurrent() || slices.ContainsFunc(answers, (*pb.DeskReadyResponse).GetReady)
 	for i, a := range answers {
 		if a == nil {
 			since, silent := s.silentSince.Load(peers[i].Name)
-			survey.silent = survey.silent || silent && clock.Since(since.(clock.Instant)) < silentPeerTimeout && !gone[i]
+			survey.silent = survey.silent || silent && !gone[i] && (!upToDate || clock.Since(since.(clock.Instant)) < silentPeerTimeout)
 			continue
 		}
 		survey.pending = survey.pending || a.GetOpen()
