intake: the silence of an entry that left ends with its next incarnation

An entry that left counts as silent from its last probe on. Started again more than 4 s later, it introduces itself, but still counted as silent for that long until the next regular probe, up to a second. A job whose write it had open was refused meanwhile. Change: a call with a new incarnation ends the silence.

--- a/internal/dispatch/submit_test.go
+++ b/internal/dispatch/submit_test.go
@@ -517,6 +517,31 @@
 	})
 }
 
+// An entry leaves and starts again only once it no longer counts as silent. Its write is open, and no regular probe has
+// found it yet.
+func TestJobOfEntryThatStartedLongAfterItLeftIsNotRefused(t *testing.T) {
+	for _, kill := range []bool{false, true} {
+		withVirtualTime(t, func(t *testing.T) {
+			c := newCluster(t, 3, 2)
+			time.Sleep(3100 * time.Millisecond)
+			c.leaveEntry(c.entries[0])
+			time.Sleep(10 * time.Second)
+			c.restartEntry(c.entries[0])
+			time.Sleep(200 * time.Millisecond)
+			c.store.SetFault(standin.StoreAppendsSilent)
+			go func() { _ = c.submitAt(c.entries[0], "open", "red", "batch", task(1, 1)) }()
+			time.Sleep(200 * time.Millisecond)
+			if kill {
+				c.entries[0].kill()
+			}
+			c.store.SetFault(standin.StoreSilent)
+			if err := c.submitAt(c.entries[1], "open", "red", "batch", task(1, 1)); errors.Is(err, intake.ErrUnavailable) {
+				t.Errorf("submit again, killed %t: %v", kill, err)
+			}
+		})
+	}
+}
+
 // A cancellation is answered with "no such job" only if no entry may still write the job: it would run.
 func TestCancelWaitsForOpenWrite(t *testing.T) {
 	withVirtualTime(t, func(t *testing.T) {
--- a/internal/intake/incarnation.go
+++ b/internal/intake/incarnation.go
@@ -15,13 +15,14 @@
 	replacedAt clock.Instant     // When an entry that had not left was last seen to have another one; zero if never.
 }
 
-// note records an incarnation of an entry, both of which are empty for an entry of an earlier version.
-func (i *incarnations) note(name, incarnation string) {
+// note records an incarnation of an entry, both of which are empty for an entry of an earlier version. It reports
+// whether it has not heard of the incarnation before.
+func (i *incarnations) note(name, incarnation string) (isNew bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if incarnation == "" {
 		delete(i.left, name) // The one that left is followed by one that can't be told from others.
-		return
+		return false
 	}
 	if i.newest == nil {
 		i.newest = make(map[string]string)
@@ -29,7 +30,9 @@
 	if before, ok := i.newest[name]; ok && before != incarnation && before != i.left[name] {
 		i.replacedAt = clock.Now()
 	}
+	isNew = i.newest[name] != incarnation
 	i.newest[name] = incarnation
+	return isNew
 }
 
 // replacedRecently reports whether an earlier incarnation of an entry may have an undecided write of a job whose
--- a/internal/intake/peers.go
+++ b/internal/intake/peers.go
@@ -297,7 +297,9 @@
 // names one.
 func (h Handler) Ready(_ context.Context, r *connect.Request[pb.DeskReadyRequest]) (*connect.Response[pb.DeskReadyResponse], error) {
 	s := h.Service
-	s.incarnations.note(r.Msg.GetEntry(), r.Msg.GetLife())
+	if s.incarnations.note(r.Msg.GetEntry(), r.Msg.GetLife()) {
+		s.silentSince.Delete(r.Msg.GetEntry()) // It was the one before that has been silent.
+	}
 	out := &pb.DeskReadyResponse{Ready: s.storeReachable() && !s.stopping(), Life: s.Incarnation}
 	if id := r.Msg.GetJob(); id != "" {
 		out.Open, out.Accepted = s.known(id)
