dispatch: test that orders on old operators' records are good for less

Cause: giving each order for starts the full 2.5 s, also while the operators' records can't be read, failed no test: in the existing cases a late order was refused for another reason. Change: TestOrderOnOldRecordsIsGoodForLess. The only planner can't read the records any more, a zone is evacuated, work is submitted 2.5 to 3.2 s later, and the orders are held up until the bound is over.

--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -490,6 +490,16 @@
 	return err
 }
 
+// starts returns the starts of the order, if one was held up.
+func (h *heldOrder) starts() []*pb.StartTask {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.request == nil {
+		return nil
+	}
+	return h.request.Msg.GetStarts()
+}
+
 // hold holds up the orders for an agent until the returned function is called.
 func (t *agentTable) hold(address string) (order *heldOrder, end func()) {
 	t.mu.Lock()
--- a/internal/dispatch/evacuation_test.go
+++ b/internal/dispatch/evacuation_test.go
@@ -359,3 +359,49 @@
 		c.reportViolations(checker)
 	})
 }
+
+// The operators' records can't be read any more, and a zone is evacuated. For a while the planner still sends starts,
+// on what it has read before. An order that is held up until the bound is over starts nothing.
+func TestOrderOnOldRecordsIsGoodForLess(t *testing.T) {
+	const accelerators = 8 // Of a worker.
+	for after := 2500 * time.Millisecond; after <= 3200*time.Millisecond; after += 100 * time.Millisecond {
+		t.Run(fmt.Sprint("submitted after ", after), func(t *testing.T) {
+			withVirtualTime(t, func(t *testing.T) {
+				c := newEvacuationCluster(t, 1, 4) // No other planner takes over and tells the agents.
+				checker := c.watchRuns()
+				time.Sleep(3 * time.Second)
+				e := c.planner()
+				e.operatorsLink.loseAnswers()
+				c.evacuate("zone-0")
+				evacuated := time.Now()
+				var orders []*heldOrder
+				var ends []func()
+				for _, a := range c.agents {
+					order, end := e.agents.hold(agentAddress(a.name))
+					orders, ends = append(orders, order), append(ends, end)
+				}
+				time.Sleep(after)
+				c.submit("a", "red", "urgent", many(task(2, accelerators), len(c.agents)))
+				time.Sleep(time.Until(evacuated.Add(evacuationBound + time.Millisecond)))
+				for i, a := range c.agents {
+					if len(orders[i].starts()) == 0 {
+						t.Errorf("no start was sent to %s", a.name)
+						continue
+					}
+					if err := orders[i].deliver(c.ctx, a.process); err != nil {
+						t.Error(err)
+					}
+				}
+				for _, end := range ends {
+					end()
+				}
+				if n := c.startsIn("zone-0"); n != 0 {
+					t.Errorf("%d starts in the evacuated zone", n)
+				}
+				e.operatorsLink.restore()
+				c.await(60*time.Second, shop.Done, "a")
+				c.reportViolations(checker)
+			})
+		})
+	}
+}
