--- a/cmd/sniperill/show.go
+++ b/cmd/sniperill/show.go
@@ -15,18 +15,19 @@
 )
 
 const helpShow = `Shows what the entry knows: what each team uses and owns, which accelerators back
-each guarantee or why it is not backed in full, the workers and their health, the
-jobs, and the configuration in force.`
+each guarantee or why it is not backed in full, the workers and their health, what is
+left in each evacuated zone, the jobs, and the configuration in force.`
 
 func showCommand() *cli.Command {
 	return &cli.Command{
 		Name:        "show",
-		Usage:       "show teams, guarantees, workers, jobs or the configuration",
+		Usage:       "show teams, guarantees, workers, evacuations, jobs or the configuration",
 		Description: helpShow,
 		Commands: []*cli.Command{
 			{Name: "teams", Usage: "what each team uses and owns", Flags: clientFlags(), Action: asOperator(0, showTeams)},
 			{Name: "guarantees", Usage: "which accelerators back each guarantee", Flags: clientFlags(), Action: asOperator(0, showGuarantees)},
 			{Name: "workers", Usage: "the workers and their health", Flags: listFlags(), Action: asOperator(0, showWorkers)},
+			{Name: "evacuations", Usage: "what is left in each evacuated zone", Flags: listFlags(), Action: asOperator(0, showEvacuations)},
 			{
 				Name: "jobs", Usage: "the jobs and their states", Action: asOperator(0, showJobs),
 				Flags: listFlags(&cli.StringFlag{Name: "team", Usage: "only the jobs of this team"}),
--- a/pkg/shop/config.go
+++ b/pkg/shop/config.go
@@ -62,7 +62,7 @@
 
 // Evacuates reports whether the zone of a place takes no new work.
 func (c Config) Evacuates(p Place) bool {
-	return slices.Contains(c.EvacuatedZones, p.Zone) || slices.Contains(c.EvacuatedZones, p.Region+"/"+p.Zone)
+	return slices.ContainsFunc(c.EvacuatedZones, p.InZone)
 }
 
 // WithVersion returns a copy with another version number.
--- a/pkg/shop/worker.go
+++ b/pkg/shop/worker.go
@@ -10,6 +10,9 @@
 	Worker string `json:"worker"`
 }
 
+// InZone reports whether the place is in a zone, given as ZONE or REGION/ZONE.
+func (p Place) InZone(zone string) bool { return zone == p.Zone || zone == p.Region+"/"+p.Zone }
+
 // Compare orders places by region, zone, rack and worker.
 func (p Place) Compare(q Place) int {
 	return cmp.Or(
