workflow: the effects of changes name the team and queue that calls go to

A key that moves to another team, or that an earlier team holds, was told to get 401 or to be the new team's; a queue that trades places with another, or whose host is only spelled differently, was told to leave 404 behind; a service that the list lacks was told to have no worker, though nothing but a queue's service and the workers' own decide that. Teams that come or go were not listed. Urgent queues whose jobs are all refused counted as what guarantees are for. Not found: a host with a port, a queue that nobody has a key for, an objective without time to start, and a change whose version is ignored, which exited with 0. A list of workers or a version in force that can't be decoded exited with 1, as a mistake of the configuration. Change: effects ask Match and Authenticate of the new rules; the findings above; status 2 for the other files. The tests' names of kinds have their new package; no case changed.

--- a/cmd/sniperill/checkrules.go
+++ b/cmd/sniperill/checkrules.go
@@ -4,10 +4,12 @@
 	"errors"
 	"fmt"
 	"os"
+	"strconv"
 
 	"github.com/gravitational/trace"
 	"github.com/urfave/cli/v3"
 
+	"sniperill.example/sniperill/pkg/shop"
 	"sniperill.example/sniperill/pkg/workflow"
 	"sniperill.example/sniperill/platform"
 )
@@ -15,10 +17,18 @@
 // errNotChecked makes the program exit with a status of its own, as nothing is known about the configuration.
 var errNotChecked = errors.New("check: not checked")
 
+// notChecked wraps an error in errNotChecked.
+func notChecked(err error) error {
+	if errors.Is(err, errNotChecked) {
+		return err
+	}
+	return fmt.Errorf("%w: %w", errNotChecked, err)
+}
+
 // rulesResult is the result of "check --rules" as JSON.
 type rulesResult struct {
-	OK       bool                 `json:"ok"`
-	Findings workflow.FindingList `json:"findings"`
+	OK       bool             `json:"ok"`
+	Findings shop.FindingList `json:"findings"`
 	// Changes is null without a version to compare with.
 	Changes []workflow.Change `json:"changes"`
 }
@@ -32,18 +42,22 @@
 	var workers []workflow.ZonedWorker
 	if file := c.String("workers"); file != "" {
 		if workers, err = readJSONFile(file, platform.ReadWorkers); err != nil {
-			return trace.Wrap(err)
+			return trace.Wrap(notChecked(err))
 		}
 	}
-	result := rulesResult{Findings: append(workflow.FindingList{}, rules.Check(workers)...)}
-	result.OK = len(result.Findings) == 0
+	result := rulesResult{Findings: append(shop.FindingList{}, rules.Check(workers)...)}
 	if file := c.String("in-force"); file != "" {
 		inForce, err := readJSONFile(file, platform.ReadRules)
 		if err != nil {
-			return trace.Wrap(err)
+			return trace.Wrap(notChecked(err))
 		}
 		result.Changes = append([]workflow.Change{}, rules.Changes(inForce)...)
+		if rules.Version <= inForce.Version && len(result.Changes) > 1 {
+			result.Findings.Add(shop.NeverMatches, "version", strconv.FormatInt(rules.Version, 10),
+				"not above version %d, which is in force, so that all of it is ignored", inForce.Version)
+		}
 	}
+	result.OK = len(result.Findings) == 0
 	if err := printRulesResult(c, result); err != nil {
 		return trace.Wrap(err)
 	}
--- a/pkg/workflow/check.go
+++ b/pkg/workflow/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"net"
 	"slices"
 	"strconv"
 	"strings"
@@ -11,32 +12,6 @@
 	"sniperill.example/sniperill/pkg/shop"
 )
 
-// FindingKind says what is wrong with an entry of a configuration.
-type FindingKind string
-
-// Kinds of findings, the gravest first.
-const (
-	Mistake       FindingKind = "mistake"       // The value is not valid.
-	Contradiction FindingKind = "contradiction" // Valid by itself, but not together with others.
-	NeverMatches  FindingKind = "never-matches" // The entry has no effect.
-)
-
-// Finding is a problem of a configuration that is about to be sent.
-type Finding struct {
-	Kind FindingKind `json:"kind"`
-	shop.Problem
-}
-
-// String formats the finding as "kind: field = value: message".
-func (f Finding) String() string { return string(f.Kind) + ": " + f.Problem.String() }
-
-// FindingList holds all findings of a configuration.
-type FindingList []Finding
-
-func (l *FindingList) add(kind FindingKind, field, value, format string, args ...any) {
-	*l = append(*l, Finding{kind, shop.Problem{Field: field, Value: value, Message: fmt.Sprintf(format, args...)}})
-}
-
 // ZonedWorker is a worker and its availability zone.
 type ZonedWorker struct {
 	Worker
@@ -46,13 +21,13 @@
 // Check returns the problems of the rules: values that aren't valid, entries that can never match, and
 // limits that contradict each other. Workers are those of the deployment; without any, what depends on them
 // isn't checked.
-func (r *Rules) Check(workers []ZonedWorker) FindingList {
-	var l FindingList
+func (r *Rules) Check(workers []ZonedWorker) shop.FindingList {
+	var l shop.FindingList
 	if r.Version <= 0 {
-		l.add(Mistake, "version", strconv.FormatInt(r.Version, 10), "must be above zero")
+		l.Add(shop.Mistake, "version", strconv.FormatInt(r.Version, 10), "must be above zero")
 	}
 	if r.MaxBody < 0 {
-		l.add(Mistake, "max-body", strconv.FormatInt(r.MaxBody, 10), "must not be negative")
+		l.Add(shop.Mistake, "max-body", strconv.FormatInt(r.MaxBody, 10), "must not be negative")
 	}
 	r.checkServices(&l, workers)
 	r.checkQueues(&l)
@@ -65,25 +40,25 @@
 	return slices.ContainsFunc(r.Services, func(s Service) bool { return s.Name == name })
 }
 
-func (r *Rules) checkServices(l *FindingList, workers []ZonedWorker) {
+func (r *Rules) checkServices(l *shop.FindingList, workers []ZonedWorker) {
 	seen := make(map[string]bool)
 	for i, s := range r.Services {
 		field := fmt.Sprintf("services[%d].name", i)
 		switch {
 		case s.Name == "":
-			l.add(Mistake, field, "", "must not be empty")
+			l.Add(shop.Mistake, field, "", "must not be empty")
 		case seen[s.Name]:
-			l.add(NeverMatches, field, s.Name, "an earlier service has the same name")
+			l.Add(shop.NeverMatches, field, s.Name, "an earlier service has the same name")
 		case !slices.ContainsFunc(r.Queues, func(q Queue) bool { return q.Service == s.Name }):
-			l.add(NeverMatches, field, s.Name, "no queue sends work to it")
+			l.Add(shop.NeverMatches, field, s.Name, "no queue sends work to it")
 		case len(workers) > 0 && !slices.ContainsFunc(workers, func(w ZonedWorker) bool { return w.Service == s.Name }):
-			l.add(NeverMatches, field, s.Name, "no worker serves it")
+			l.Add(shop.NeverMatches, field, s.Name, "no worker serves it")
 		}
 		seen[s.Name] = true
 	}
 }
 
-func (r *Rules) checkQueues(l *FindingList) {
+func (r *Rules) checkQueues(l *shop.FindingList) {
 	names := make(map[string]bool)
 	prefixes := make(map[[2]string]string) // The name of the first queue, by host in lower case and prefix.
 	for i := range r.Queues {
@@ -94,43 +69,55 @@
 		}
 		q.checkValues(l, field)
 		if names[q.Name] {
-			l.add(Mistake, field+".name", q.Name, "an earlier queue has the same name")
+			l.Add(shop.Mistake, field+".name", q.Name, "an earlier queue has the same name")
 		}
 		names[q.Name] = true
 		if !r.hasService(q.Service) {
-			l.add(NeverMatches, field+".service", q.Service, "no such service, so that no worker runs its jobs")
+			l.Add(shop.NeverMatches, field+".service", q.Service, "the configuration has no such service")
 		}
 		at := [2]string{strings.ToLower(q.Host), q.Prefix}
 		if first, ok := prefixes[at]; ok {
-			l.add(NeverMatches, field+".prefix", q.Prefix, "queue %q takes all calls of host %q with this prefix", first, q.Host)
+			l.Add(shop.NeverMatches, field+".prefix", q.Prefix, "queue %q takes all calls of host %q with this prefix", first, q.Host)
 		} else {
 			prefixes[at] = q.Name
 		}
+		if !q.Public && !r.anyKey() {
+			l.Add(shop.NeverMatches, field+".public", "false", "no team has a key to call it with")
+		}
 		if err := q.CanServe(); err != nil {
-			l.add(NeverMatches, field+".advised", "true", "all its jobs are refused: %v", err)
+			l.Add(shop.NeverMatches, field+".advised", "true", "all its jobs are refused: %v", err)
 		}
 	}
 }
 
+// anyKey reports whether there is a key that authenticates a team.
+func (r *Rules) anyKey() bool {
+	return slices.ContainsFunc(r.Teams, func(t Team) bool {
+		return slices.ContainsFunc(t.Keys, func(key string) bool { return key != "" })
+	})
+}
+
 // checkValues checks a queue by itself.
-func (q *Queue) checkValues(l *FindingList, field string) {
+func (q *Queue) checkValues(l *shop.FindingList, field string) {
 	if q.Name == "" {
-		l.add(Mistake, field+".name", "", "must not be empty")
+		l.Add(shop.Mistake, field+".name", "", "must not be empty")
 	}
 	if q.Host == "" {
-		l.add(NeverMatches, field+".host", "", "no call has an empty host")
+		l.Add(shop.NeverMatches, field+".host", "", "no call has an empty host")
+	} else if _, port, err := net.SplitHostPort(q.Host); err == nil {
+		l.Add(shop.NeverMatches, field+".host", q.Host, "the host of a call is compared without its port: leave out %q", ":"+port)
 	}
 	if !strings.HasPrefix(q.Prefix, "/") {
-		l.add(NeverMatches, field+".prefix", q.Prefix, `no path begins with it: must begin with "/"`)
+		l.Add(shop.NeverMatches, field+".prefix", q.Prefix, `no path begins with it: must begin with "/"`)
 	} else if !strings.HasSuffix(q.Prefix, "/") {
-		l.add(Mistake, field+".prefix", q.Prefix, `must end in "/": a job's id follows`)
+		l.Add(shop.Mistake, field+".prefix", q.Prefix, `must end in "/": a job's id follows`)
 	}
 	for _, n := range []struct {
 		name  string
 		value int
 	}{{"priority", q.Priority}, {"max-attempts", q.MaxAttempts}} {
 		if n.value < 0 {
-			l.add(Mistake, field+"."+n.name, strconv.Itoa(n.value), "must not be negative")
+			l.Add(shop.Mistake, field+"."+n.name, strconv.Itoa(n.value), "must not be negative")
 		}
 	}
 	for _, d := range []struct {
@@ -138,20 +125,22 @@
 		value time.Duration
 	}{{"target", q.Target}, {"timeout", q.Timeout}} {
 		if d.value < 0 {
-			l.add(Mistake, field+"."+d.name, d.value.String(), "must not be negative")
+			l.Add(shop.Mistake, field+"."+d.name, d.value.String(), "must not be negative")
 		}
 	}
 	switch {
 	case q.Stretch < 0:
-		l.add(Mistake, field+".stretch", formatFloat(q.Stretch), "must not be negative")
+		l.Add(shop.Mistake, field+".stretch", formatFloat(q.Stretch), "must not be negative")
 	case q.Stretch == 0 && q.Target <= 0:
-		l.add(Contradiction, field+".target", q.Target.String(), "with a stretch of 0 the objective is over when a job is submitted")
+		l.Add(shop.Contradiction, field+".target", q.Target.String(), "with a stretch of 0 the objective is over when a job is submitted")
 	case q.Stretch > 0 && q.Stretch < 1:
-		l.add(Contradiction, field+".stretch", formatFloat(q.Stretch), "a job that takes longer than %v can't meet its objective even if it starts at once",
+		l.Add(shop.Contradiction, field+".stretch", formatFloat(q.Stretch), "a job that takes longer than %v can't meet its objective even if it starts at once",
 			time.Duration(float64(q.Target)/(1-q.Stretch)).Round(time.Millisecond))
+	case q.Stretch == 1 && q.Target < minCallTimeout:
+		l.Add(shop.Contradiction, field+".target", q.Target.String(), "with a stretch of 1 it is all the time to store a job, which takes %v, and to start it", minCallTimeout)
 	}
 	if q.Timeout > 0 && q.Timeout < minCallTimeout {
-		l.add(Contradiction, field+".timeout", q.Timeout.String(), "shorter than the %v that storing a job may take", minCallTimeout)
+		l.Add(shop.Contradiction, field+".timeout", q.Timeout.String(), "shorter than the %v that storing a job may take", minCallTimeout)
 	}
 }
 
@@ -160,7 +149,7 @@
 
 func formatFloat(f float64) string { return strconv.FormatFloat(f, 'g', -1, 64) }
 
-func (r *Rules) checkTeams(l *FindingList) {
+func (r *Rules) checkTeams(l *shop.FindingList) {
 	seen := make(map[string]bool)
 	holders := make(map[string]string) // Team by key.
 	for i, t := range r.Teams {
@@ -170,26 +159,26 @@
 		}
 		switch {
 		case t.Name == "":
-			l.add(Mistake, field+".name", "", "must not be empty")
+			l.Add(shop.Mistake, field+".name", "", "must not be empty")
 		case seen[t.Name]:
-			l.add(Mistake, field+".name", t.Name, "an earlier team has the same name")
+			l.Add(shop.Mistake, field+".name", t.Name, "an earlier team has the same name")
 		}
 		seen[t.Name] = true
 		if t.Guaranteed < 0 {
-			l.add(Mistake, field+".guaranteed", strconv.Itoa(t.Guaranteed), "must not be negative")
+			l.Add(shop.Mistake, field+".guaranteed", strconv.Itoa(t.Guaranteed), "must not be negative")
 		}
 		if len(t.Keys) == 0 && t.Guaranteed > 0 {
-			l.add(Contradiction, field+".guaranteed", strconv.Itoa(t.Guaranteed), "the team has no key to submit jobs with")
+			l.Add(shop.Contradiction, field+".guaranteed", strconv.Itoa(t.Guaranteed), "the team has no key to submit jobs with")
 		}
 		for n, key := range t.Keys {
 			at := fmt.Sprintf("%s.keys[%d]", field, n)
 			switch holder, ok := holders[key]; {
 			case key == "":
-				l.add(NeverMatches, at, "", "an empty key authenticates nobody")
+				l.Add(shop.NeverMatches, at, "", "an empty key authenticates nobody")
 			case ok && holder == t.Name:
-				l.add(NeverMatches, at, maskKey(key), "the team has this key already")
+				l.Add(shop.NeverMatches, at, maskKey(key), "the team has this key already")
 			case ok:
-				l.add(NeverMatches, at, maskKey(key), "team %q holds this key, and gets its calls", holder)
+				l.Add(shop.NeverMatches, at, maskKey(key), "team %q holds this key, and gets its calls", holder)
 			default:
 				holders[key] = t.Name
 			}
@@ -204,7 +193,7 @@
 }
 
 // checkGuarantees checks that all guarantees fit on the workers that urgent work can run on.
-func (r *Rules) checkGuarantees(l *FindingList, workers []ZonedWorker) {
+func (r *Rules) checkGuarantees(l *shop.FindingList, workers []ZonedWorker) {
 	total := 0
 	for _, t := range r.Teams {
 		total += max(0, t.Guaranteed)
@@ -214,12 +203,12 @@
 	}
 	urgent := make(map[string]bool) // Services.
 	for _, q := range r.Queues {
-		if q.Priority == 0 {
+		if q.Priority == 0 && q.CanServe() == nil {
 			urgent[q.Service] = true
 		}
 	}
 	if len(urgent) == 0 {
-		l.add(Contradiction, "teams", fmt.Sprintf("%d accelerators guaranteed", total), "no queue has priority 0, which guarantees are for")
+		l.Add(shop.Contradiction, "teams", fmt.Sprintf("%d accelerators guaranteed", total), "no queue that takes jobs has priority 0, which guarantees are for")
 		return
 	}
 	if len(workers) == 0 {
@@ -233,12 +222,12 @@
 		}
 	}
 	if total > all {
-		l.add(Contradiction, "teams", fmt.Sprintf("%d accelerators guaranteed", total), "the workers of urgent work have %d", all)
+		l.Add(shop.Contradiction, "teams", fmt.Sprintf("%d accelerators guaranteed", total), "the workers of urgent work have %d", all)
 		return
 	}
 	for _, zone := range slices.Sorted(maps.Keys(byZone)) {
 		if left := all - byZone[zone]; zone != "" && len(byZone) > 1 && total > left {
-			l.add(Contradiction, "teams", fmt.Sprintf("%d accelerators guaranteed", total),
+			l.Add(shop.Contradiction, "teams", fmt.Sprintf("%d accelerators guaranteed", total),
 				"%d are left while zone %q is evacuated", left, zone)
 		}
 	}
@@ -275,15 +264,17 @@
 	old, now := byName(inForce.Queues, func(q Queue) string { return q.Name }), byName(r.Queues, func(q Queue) string { return q.Name })
 	for _, name := range sortedKeys(old, now) {
 		a, b, field := old[name], now[name], "queues."+name
-		switch _, before := old[name]; {
+		_, before := old[name]
+		_, after := now[name]
+		switch {
 		case !before:
-			add(field, "", b.Host+b.Prefix, "the queue opens")
+			add(field, "", b.Host+b.Prefix, "the queue opens: calls there %s", r.callsAt(b))
 			continue
-		case b.Name == "" && a.Name != "":
-			add(field, a.Host+a.Prefix, "", "the queue closes: calls for it get 404; its jobs go on under the rules that they were accepted by")
+		case !after:
+			add(field, a.Host+a.Prefix, "", "the queue closes: calls there %s; its jobs go on under the rules that they were accepted by", r.callsAt(a))
 			continue
 		}
-		add(field+".address", a.Host+a.Prefix, b.Host+b.Prefix, "the queue moves: calls at the address before get 404")
+		add(field+".address", a.Host+a.Prefix, b.Host+b.Prefix, "the queue moves: calls at the address before %s, those at the new one %s", r.callsAt(a), r.callsAt(b))
 		add(field+".service", a.Service, b.Service, "what runs goes on where it runs; what waits starts on the workers of the other service")
 		add(field+".priority", strconv.Itoa(a.Priority), strconv.Itoa(b.Priority), "also for jobs that were accepted before")
 		add(field+".max-attempts", strconv.Itoa(a.MaxAttempts), strconv.Itoa(b.MaxAttempts), "also for jobs that were accepted before")
@@ -296,15 +287,18 @@
 	oldTeams, teams := byName(inForce.Teams, func(t Team) string { return t.Name }), byName(r.Teams, func(t Team) string { return t.Name })
 	for _, name := range sortedKeys(oldTeams, teams) {
 		a, b, field := oldTeams[name], teams[name], "teams."+name
+		_, before := oldTeams[name]
+		_, after := teams[name]
+		add(field, presence(before), presence(after), "the team comes or goes; jobs of a team that goes are not stopped, but have no guarantee")
 		add(field+".guaranteed", strconv.Itoa(a.Guaranteed), strconv.Itoa(b.Guaranteed), "other teams lend more or less")
 		for _, key := range a.Keys {
 			if !slices.Contains(b.Keys, key) {
-				add(field+".keys", maskKey(key), "", "calls with this key get 401")
+				add(field+".keys", maskKey(key), "", "calls with this key %s", r.callsWith(key))
 			}
 		}
 		for _, key := range b.Keys {
 			if !slices.Contains(a.Keys, key) {
-				add(field+".keys", "", maskKey(key), "calls with this key are the team's")
+				add(field+".keys", "", maskKey(key), "calls with this key %s", r.callsWith(key))
 			}
 		}
 	}
@@ -312,11 +306,29 @@
 	for _, name := range sortedKeys(oldServices, services) {
 		_, before := oldServices[name]
 		_, after := services[name]
-		add("services."+name, presence(before), presence(after), "its workers get no more work, or may get some")
+		add("services."+name, presence(before), presence(after), "no effect by itself: workers get the jobs of the queues that name their service")
 	}
 	return out
 }
 
+// callsAt tells what becomes of calls at a queue's address. A queue with a shorter prefix takes none of them, as
+// only a job's id may follow its prefix.
+func (r *Rules) callsAt(address Queue) string {
+	q, ok := r.Match(address.Host, address.Prefix)
+	if !ok || q.Prefix != address.Prefix {
+		return "get 404"
+	}
+	return fmt.Sprintf("go to queue %q", q.Name)
+}
+
+// callsWith tells what becomes of calls with a key.
+func (r *Rules) callsWith(key string) string {
+	if t, ok := r.Authenticate(key); ok {
+		return fmt.Sprintf("are those of team %q", t.Name)
+	}
+	return "get 401, except at public queues"
+}
+
 func presence(there bool) string {
 	if there {
 		return "listed"
