cmd, inspection: a configuration folder is checked before it is sent

An entry that can never match, guarantees that don't fit while a zone is evacuated, or requests that end before they must start were seen only in service. A missing folder exited with 1, as if it held a mistake. TestCommands got four rows, TestCheckRules more cases; none was changed.

--- a/cmd/sniperill/apply.go
+++ b/cmd/sniperill/apply.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 	"github.com/urfave/cli/v3"
 
+	"sniperill.example/sniperill/internal/inspection"
 	"sniperill.example/sniperill/pkg/operator"
 	"sniperill.example/sniperill/pkg/shop"
 )
@@ -18,7 +19,8 @@
 accepted since that version, yours is refused and the author of the other is named.
 
 With --dry-run it only checks the configuration, including whether all guarantees
-fit on the hardware together.`
+fit on the hardware together. Warnings, of entries that can never match and of limits
+that contradict each other, don't keep it from being applied.`
 
 func applyCommand() *cli.Command {
 	return &cli.Command{
@@ -46,6 +48,8 @@
 	Version uint64           `json:"version"`
 	Changes shop.ChangeList  `json:"changes"`
 	Problem shop.ProblemList `json:"problems,omitempty"`
+	// Warnings are about a configuration that can be applied, on the workers that the entry knows.
+	Warnings shop.FindingList `json:"warnings,omitempty"`
 	// Winner is the author of the conflicting change that was accepted earlier.
 	Winner string `json:"winner,omitempty"`
 }
@@ -65,6 +69,10 @@
 		out.Base = c.Uint64("base")
 	}
 	out.Version, err = client.Apply(ctx, folder.Config, out.Base, "", out.DryRun)
+	if err == nil {
+		workers, _ := listWorkers(ctx, client) // Without them, less is checked.
+		out.Warnings = inspection.Config(folder.Config, workers).WithFiles(folder.Sources)
+	}
 	return printApplyResult(c, out, addFileNames(err, folder.Sources))
 }
 
@@ -109,6 +117,9 @@
 	if err := printChanges(c, out.Changes); err != nil {
 		return trace.Wrap(err)
 	}
+	if err := printWarnings(c, out.Warnings); err != nil {
+		return trace.Wrap(err)
+	}
 	if out.DryRun {
 		_, err = fmt.Fprintf(c.Writer, "Can be applied to version %d.\n", out.Base)
 	} else {
--- a/cmd/sniperill/check.go
+++ b/cmd/sniperill/check.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"io/fs"
 	"os"
 
 	"github.com/gravitational/trace"
 	"github.com/urfave/cli/v3"
 
+	"sniperill.example/sniperill/internal/inspection"
 	"sniperill.example/sniperill/internal/settings"
 	"sniperill.example/sniperill/pkg/shop"
 	"sniperill.example/sniperill/platform"
@@ -18,7 +20,11 @@
 with its file, field and value:
 
     sniperill check --settings entry entry.json
-    sniperill check --config FOLDER
+    sniperill check --config FOLDER [--workers workers.json]
+
+It also warns of entries that can never match and of limits that contradict each
+other. What depends on the hardware is checked with a list of the workers, which
+"show workers --json" prints; "diff" and "apply" ask the entry for it.
 
 On the users' platform, it checks a configuration before it is sent: mistakes, entries
 that can never match, limits that contradict each other, and what differs from the
@@ -26,12 +32,12 @@
 
     sniperill check --rules new.json [--in-force old.json] [--workers workers.json]
 
-Whether all guarantees fit on the hardware together is checked by "apply", which
-knows the hardware. Exits with status 1 when there is a mistake, and with status 2
-when a file could not be read.`
+Exits with status 1 when there is a mistake or a warning, and with status 2 when
+something could not be read that it needs to check.`
 
 var (
 	errCheckNothing = errors.New("check: requires --settings entry|agent|stand-in|platform FILE, --config FOLDER or --rules FILE")
+	errCheckBoth    = errors.New("check: --rules takes no --settings, --config or arguments; --in-force needs --rules, and --workers needs --rules or --config")
 	errCheckRole    = errors.New("check: --settings must be entry, agent, stand-in or platform")
 )
 
@@ -46,7 +52,7 @@
 			&cli.StringFlag{Name: "config", Usage: "configuration folder"},
 			&cli.StringFlag{Name: "rules", Usage: "configuration of the users' platform"},
 			&cli.StringFlag{Name: "in-force", Usage: "the platform's configuration that --rules will replace"},
-			&cli.StringFlag{Name: "workers", Usage: "JSON list of the platform's workers, as in their heartbeats"},
+			&cli.StringFlag{Name: "workers", Usage: "the workers: the JSON of \"show workers\"; with --rules, a JSON list of them as in their heartbeats"},
 			jsonFlag(),
 		},
 		Action: runCheck,
@@ -57,32 +63,76 @@
 type checkResult struct {
 	OK       bool             `json:"ok"`
 	Problems shop.ProblemList `json:"problems"`
+	// Warnings are about what is valid, but without effect or at odds with other values.
+	Warnings shop.FindingList `json:"warnings,omitempty"`
 }
 
 func runCheck(_ context.Context, c *cli.Command) error {
-	role, config := c.String("settings"), c.String("config")
-	if c.String("rules") != "" {
+	role, config, rules := c.String("settings"), c.String("config"), c.String("rules")
+	switch {
+	case rules != "" && (role != "" || config != "" || c.Args().Len() > 0),
+		rules == "" && c.String("in-force") != "",
+		rules == "" && config == "" && c.String("workers") != "":
+		return errCheckBoth
+	case rules != "":
 		return checkRules(c)
-	}
-	if role == "" && config == "" {
+	case role == "" && config == "":
 		return errCheckNothing
 	}
-	problems := shop.ProblemList{}
+	result := checkResult{Problems: shop.ProblemList{}}
+	var shutdownTimeout shop.Duration
 	if role != "" {
 		if c.Args().Len() != 1 {
 			return errNoSettingsFile
 		}
-		if err := appendProblems(&problems, checkSettings(role, c.Args().First())); err != nil {
-			return trace.Wrap(err)
+		checked, err := checkSettings(role, c.Args().First())
+		if err := appendProblems(&result.Problems, err); err != nil {
+			return trace.Wrap(ifUnreadable(err))
 		}
+		result.Warnings, shutdownTimeout = checked.warnings, checked.shutdownTimeout
 	}
 	if config != "" {
-		_, err := shop.ReadFolder(os.DirFS(config))
-		if err := appendProblems(&problems, err); err != nil {
-			return trace.Wrap(err)
+		warnings, err := checkFolder(config, c.String("workers"), shutdownTimeout)
+		if err := appendProblems(&result.Problems, err); err != nil {
+			return trace.Wrap(ifUnreadable(err))
+		}
+		result.Warnings = append(result.Warnings, warnings...)
+	}
+	result.OK = len(result.Problems) == 0 && len(result.Warnings) == 0
+	return printCheckResult(c, result)
+}
+
+// ifUnreadable wraps the error for a file that can't be read in errNotChecked.
+func ifUnreadable(err error) error {
+	var pathError *fs.PathError
+	if errors.As(err, &pathError) {
+		return notChecked(err)
+	}
+	return err
+}
+
+// checkFolder returns the warnings about a configuration folder. The shutdown timeout is that of the process whose
+// settings are checked with it, or zero.
+func checkFolder(name, workersFile string, shutdownTimeout shop.Duration) (shop.FindingList, error) {
+	if _, err := os.ReadDir(name); err != nil {
+		return nil, err
+	}
+	var workers shop.WorkerList
+	if workersFile != "" {
+		var err error
+		if workers, err = readJSONFile(workersFile, decodeWorkers); err != nil {
+			return nil, notChecked(err)
 		}
 	}
-	return printCheckResult(c, checkResult{OK: len(problems) == 0, Problems: problems})
+	folder, err := shop.ReadFolder(os.DirFS(name))
+	if err != nil {
+		return nil, err
+	}
+	findings := inspection.Config(folder.Config, workers)
+	if shutdownTimeout > 0 {
+		findings = append(findings, inspection.Shutdown(folder.Config, shutdownTimeout)...)
+	}
+	return findings.WithFiles(folder.Sources), nil
 }
 
 func printCheckResult(c *cli.Command, result checkResult) error {
@@ -93,7 +143,12 @@
 	case result.OK:
 		_, err = fmt.Fprintln(c.Writer, "No mistakes.")
 	default:
-		_, err = fmt.Fprintln(c.Writer, result.Problems.Error())
+		for _, p := range result.Problems {
+			if _, err := fmt.Fprintln(c.Writer, p); err != nil {
+				return trace.Wrap(err)
+			}
+		}
+		err = printWarnings(c, result.Warnings)
 	}
 	if err == nil && !result.OK {
 		return errReported
@@ -101,6 +156,15 @@
 	return trace.Wrap(err)
 }
 
+func printWarnings(c *cli.Command, warnings shop.FindingList) error {
+	for _, f := range warnings {
+		if _, err := fmt.Fprintln(c.Writer, f); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return nil
+}
+
 // appendProblems appends the problems to the list if err is a list of problems. It returns
 // any other error.
 func appendProblems(problems *shop.ProblemList, err error) error {
@@ -112,23 +176,38 @@
 	return nil
 }
 
+// checkedSettings is what is known of a settings file that was checked.
+type checkedSettings struct {
+	warnings        shop.FindingList
+	shutdownTimeout shop.Duration // Zero if the role has none.
+}
+
 // checkSettings checks the settings file of a role and the key files that it names.
-func checkSettings(role, file string) error {
+func checkSettings(role, file string) (checkedSettings, error) {
 	switch role {
 	case "entry":
 		var s settings.Entry
-		return checkKeys(file, settings.Read(file, &s), s.Keys)
+		err := checkKeys(file, settings.Read(file, &s), s.Keys)
+		return checkedSettings{shutdownTimeout: s.ShutdownTimeout}, err
 	case "agent":
 		var s settings.Agent
-		return checkKeys(file, settings.Read(file, &s), s.Keys)
+		err := checkKeys(file, settings.Read(file, &s), s.Keys)
+		return checkedSettings{shutdownTimeout: s.ShutdownTimeout}, err
 	case "stand-in":
 		var s settings.StandIn
-		return settings.Read(file, &s)
+		return checkedSettings{}, settings.Read(file, &s)
 	case "platform":
-		_, err := platform.ReadSettingsFile(file)
-		return err
+		s, err := platform.ReadSettingsFile(file)
+		if err != nil {
+			return checkedSettings{}, err
+		}
+		warnings := s.Check()
+		for i := range warnings {
+			warnings[i].File = file
+		}
+		return checkedSettings{warnings: warnings}, nil
 	default:
-		return errCheckRole
+		return checkedSettings{}, errCheckRole
 	}
 }
 
--- a/cmd/sniperill/checkrules_test.go
+++ b/cmd/sniperill/checkrules_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"os"
 	"path/filepath"
 	"strings"
@@ -50,6 +51,27 @@
 			}
 		})
 	}
+	t.Run("a change that is ignored", func(t *testing.T) {
+		file := write("new.json", strings.Replace(string(data), `, "89anu6wsjn"`, "", 1))
+		out, err := runCommand(t, "check", "--rules", file, "--in-force", inForce)
+		if exitStatus(err) != exitError || !strings.Contains(out, "never-matches: version = 7") {
+			t.Errorf("status %d, output %s", exitStatus(err), out)
+		}
+		if out, err := runCommand(t, "check", "--rules", inForce, "--in-force", inForce); err != nil {
+			t.Errorf("the version in force: error %v, output %s", err, out)
+		}
+	})
+	sound, broken := write("sound.json", newer), write("broken.json", `[{"service"`)
+	for _, args := range [][]string{{"--workers", broken}, {"--in-force", broken}, {"--workers", filepath.Join(folder, "missing.json")}} {
+		if _, err := runCommand(t, append([]string{"check", "--rules", sound}, args...)...); exitStatus(err) != exitNotRun {
+			t.Errorf("%v: error %v: status %d, want %d", args, err, exitStatus(err), exitNotRun)
+		}
+	}
+	for _, args := range [][]string{{"--rules", sound, "--config", folder}, {"--rules", sound, sound}, {"--config", folder, "--in-force", sound}} {
+		if _, err := runCommand(t, append([]string{"check"}, args...)...); !errors.Is(err, errCheckBoth) {
+			t.Errorf("%v: error %v, want %v", args, err, errCheckBoth)
+		}
+	}
 	if _, err := runCommand(t, "check", "--rules", filepath.Join(folder, "missing.json")); exitStatus(err) != exitNotRun {
 		t.Errorf("error %v for a missing file: status %d, want %d", err, exitStatus(err), exitNotRun)
 	}
--- a/cmd/sniperill/main_test.go
+++ b/cmd/sniperill/main_test.go
@@ -141,6 +141,11 @@
 	t.Setenv("SNIPERILL_ENTRY", localAccess.Entries[0])
 	t.Setenv("SNIPERILL_CA", filepath.Join(localAccess.Keys, "authority.pem"))
 	config := "../../internal/deployment/sample"
+	warned := t.TempDir()
+	class := `{"teams": [{"name": "hari-quotes"}], "classes": [{"name": "mockup", "shape": {"accelerators": 64, "adjacency": "worker"}}]}`
+	if err := os.WriteFile(filepath.Join(warned, "1.json"), []byte(class), 0o600); err != nil {
+		t.Fatal(err)
+	}
 	const showTeams = "show teams"
 	tests := []struct {
 		user   string
@@ -155,6 +160,10 @@
 		{"operator", "diff " + config, exitDone, `"changes": []`},
 		{"operator", "change team van-routes --remove", exitDone, `"version": 2`},
 		{"operator", "change team van-routes", exitError, ""},
+		{"operator", "diff " + config, exitDone, `"effect": "its work is accepted"`},
+		{"operator", "diff " + warned, exitError, `"kind": "never-matches"`},
+		{"operator", "diff --entry https://127.0.0.1:1 " + warned, exitNotRun, ""},
+		{"operator", "apply --dry-run " + warned, exitDone, `"kind": "never-matches"`},
 		{"operator", showTeams, exitDone, `"owned-accelerators": 16`},
 		{"operator", "show guarantees", exitDone, `"whole": true`},
 		{"operator", "show workers", exitDone, `"health": "alive"`},
--- a/cmd/sniperill/show.go
+++ b/cmd/sniperill/show.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 	"time"
@@ -145,6 +146,46 @@
 	return list[workerRow]{"workers", workerColumns, rows}.print(c)
 }
 
+// listWorkers returns the workers that an entry knows.
+func listWorkers(ctx context.Context, client *operator.Client) (shop.WorkerList, error) {
+	statuses, err := client.Workers(ctx)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	var out shop.WorkerList
+	for _, s := range statuses {
+		out = append(out, newWorkerRow(s).worker())
+	}
+	return out, nil
+}
+
+// decodeWorkers decodes the JSON of "show workers".
+func decodeWorkers(data []byte) (shop.WorkerList, error) {
+	var file struct {
+		Workers []workerRow `json:"workers"`
+	}
+	if err := shop.DecodeStrict(data, &file); err != nil {
+		return nil, err
+	}
+	if len(file.Workers) == 0 {
+		return nil, errNoWorkers
+	}
+	var out shop.WorkerList
+	for _, r := range file.Workers {
+		out = append(out, r.worker())
+	}
+	return out, nil
+}
+
+var errNoWorkers = errors.New("lists no workers")
+
+func (r workerRow) worker() shop.Worker {
+	return shop.Worker{
+		Place:        shop.Place{Region: r.Region, Zone: r.Zone, Rack: r.Rack, Worker: r.Name},
+		Accelerators: int(r.Accelerators), Cores: int(r.Cores), Memory: r.Memory,
+	}
+}
+
 var workerColumns = []column[workerRow]{
 	{name: "worker", value: func(r workerRow) any { return r.Name }},
 	{name: "health", value: func(r workerRow) any { return r.Health }},
--- a/internal/entry/operate.go
+++ b/internal/entry/operate.go
@@ -10,6 +10,7 @@
 
 	"sniperill.example/sniperill/internal/gang"
 	"sniperill.example/sniperill/internal/guarantee"
+	"sniperill.example/sniperill/internal/inspection"
 	"sniperill.example/sniperill/internal/platform"
 	"sniperill.example/sniperill/internal/roster"
 	"sniperill.example/sniperill/pkg/shop"
@@ -46,6 +47,10 @@
 		return 0, fmt.Errorf("entry.Apply: %w", err)
 	}
 	e.Logger.Info().Uint64("version", version).Str("author", author).Msg("Configuration accepted.")
+	if findings := inspection.Config(c, e.planner.knownWorkers()); len(findings) > 0 {
+		e.Logger.Warn().Uint64("version", version).Int("findings", len(findings)).Stringer("first", findings[0]).
+			Msg("The configuration has entries that \"sniperill diff\" objects to.")
+	}
 	return version, nil
 }
 
@@ -56,17 +61,21 @@
 	defer cancel()
 	var err error
 	p.endedJobs.wait(ctx, func() bool {
-		members := p.roster.View().Agents
-		var workers shop.WorkerList
-		for _, m := range members {
-			workers = append(workers, workerOf(m))
-		}
+		workers := p.knownWorkers()
 		err = guarantee.Check(c, workers)
-		return err == nil || p.rosterStable(len(members))
+		return err == nil || p.rosterStable(len(workers))
 	})
 	return err
 }
 
+func (p *planner) knownWorkers() shop.WorkerList {
+	var workers shop.WorkerList
+	for _, m := range p.roster.View().Agents {
+		workers = append(workers, workerOf(m))
+	}
+	return workers
+}
+
 // rosterStable reports whether no new agent has appeared for rosterStableDelay.
 func (p *planner) rosterStable(members int) bool {
 	p.mu.Lock()
--- a/pkg/workflow/check.go
+++ b/pkg/workflow/check.go
@@ -289,7 +289,11 @@
 		a, b, field := oldTeams[name], teams[name], "teams."+name
 		_, before := oldTeams[name]
 		_, after := teams[name]
-		add(field, presence(before), presence(after), "the team comes or goes; jobs of a team that goes are not stopped, but have no guarantee")
+		if before && !after {
+			add(field, presence(before), "", "the team goes: its jobs go on, without a guarantee")
+		} else {
+			add(field, presence(before), presence(after), "the team may submit jobs with its keys")
+		}
 		add(field+".guaranteed", strconv.Itoa(a.Guaranteed), strconv.Itoa(b.Guaranteed), "other teams lend more or less")
 		for _, key := range a.Keys {
 			if !slices.Contains(b.Keys, key) {
