shop: the count of a guarantee is bounded

Cause: trying the check of folders on wrong counts: packing needs memory for each instance, and an entry packs to check a change. Change: MaxGuaranteeCount, judged where a change is published or a folder read; records in the log are not. Result: TestConfigValidate fails before, for the new row. go test ./pkg/shop, ./internal/guarantee: ok.

--- a/pkg/shop/shop_test.go
+++ b/pkg/shop/shop_test.go
@@ -39,6 +39,9 @@
 		{"quota below guarantee", func(c *Config) {
 			c.Teams = TeamList{{Name: "a", Quota: 1, Guarantees: []Guarantee{{Shape: Shape{Accelerators: 2}}}}}
 		}, []string{"teams.a.quota"}},
+		{"guarantee of too many", func(c *Config) {
+			c.Teams = TeamList{{Name: "a", Guarantees: []Guarantee{{Shape: Shape{Accelerators: 1}, Count: MaxGuaranteeCount + 1}}}}
+		}, []string{"teams.a.guarantees[0].count"}},
 		{"adjacency", func(c *Config) { c.Classes = ClassList{{Name: "quote", Shape: Shape{Adjacency: "desk"}}} }, []string{"classes.quote.shape.adjacency"}},
 		{"preemptible but not idempotent", func(c *Config) { c.Classes = ClassList{{Name: "quote", Preemptible: true}} }, []string{"classes.quote.preemptible"}},
 		{"unknown class", func(c *Config) { c.BackendServers = BackendServerList{{Name: "*", Classes: []string{"fit"}}} }, []string{"backend-servers.*.classes[0]"}},
--- a/pkg/shop/team.go
+++ b/pkg/shop/team.go
@@ -11,6 +11,9 @@
 	Count int   `json:"count"`
 }
 
+// MaxGuaranteeCount is the maximum Guarantee.Count. Packing needs memory for each instance.
+const MaxGuaranteeCount = 100_000
+
 // Team is a group of users with its guarantees, quota and fair-share weight.
 type Team struct {
 	Name       string      `json:"name"`
@@ -54,6 +57,9 @@
 		if g.Count < 1 {
 			l.Add(field+".count", strconv.Itoa(g.Count), "must be above zero")
 		}
+		if g.Count > MaxGuaranteeCount {
+			l.Add(field+".count", strconv.Itoa(g.Count), fmt.Sprintf("must be at most %d", MaxGuaranteeCount))
+		}
 	}
 	return l
 }
