--- a/cmd/sniperill/evacuate.go
+++ b/cmd/sniperill/evacuate.go
@@ -24,8 +24,8 @@
     sniperill show evacuations
     sniperill evacuate --end north-1`
 
-// errNoWorkers is returned for a zone that no known worker is in.
-var errNoWorkers = errors.New("no known worker is in the zone; if its name is right, use --force")
+// errEmptyZone is returned for a zone that no known worker is in.
+var errEmptyZone = errors.New("no known worker is in the zone; if its name is right, use --force")
 
 func evacuateCommand() *cli.Command {
 	return &cli.Command{
@@ -53,7 +53,7 @@
 			return trace.Wrap(err)
 		}
 		if newEvacuationRow(o.Name, workers).Workers == 0 {
-			return fmt.Errorf("evacuate %q: %w", o.Name, errNoWorkers)
+			return fmt.Errorf("evacuate %q: %w", o.Name, errEmptyZone)
 		}
 	}
 	o.JSON = []byte("{}")
