host, dispatch: a lease that runs out is renewed soon

So an outage that leaves two seconds of a lease or less ends what runs, though the planner reads again. Result: TestLeasesAreRenewedAfterLongOutage, before red for outages of 1.4 s less than the lease and longer; the tests of internal/dispatch and internal/host pass.

--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -258,12 +258,13 @@
 	defer ap.mu.Unlock()
 	w.noteTold(clock.Now())
 	evacuations, _ := ap.evacuations()
+	grant := ap.grant(w)
 	return &pb.WatchRequest{
 		Evacuation: ap.tellEvacuation(w, evacuations),
 		Epoch:      ap.epoch, AgentLife: w.agentIncarnation, Report: w.reportNumber,
-		Grant:    durationpb.New(ap.grant(w)),
+		Grant:    durationpb.New(grant),
 		Lifetime: w.storedEnds.lifetime, StoredEnd: w.storedEnds.number,
-		SeenVersion: w.reportVersion, Wait: durationpb.New(watchWait), Agent: w.name,
+		SeenVersion: w.reportVersion, Wait: durationpb.New(host.RenewalWait(w.receivedAt.Add(grant), watchWait)), Agent: w.name,
 	}
 }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -388,7 +388,7 @@
 	req.AckedEnd = a.ackableEnd()
 	req.LeaseEnd = a.lease.endOnWorkerClock(clock.Now())
 	if a.lease.clockReadAt != 0 { // Before, the poll must return the worker's clock at once.
-		req.Wait = pollWait
+		req.Wait = RenewalWait(a.lease.grantEnd, pollWait)
 	}
 	return req, true, nil
 }
--- a/internal/host/lease.go
+++ b/internal/host/lease.go
@@ -20,6 +20,20 @@
 // LongestLease returns how long a lease of d on a worker's clock may last.
 func LongestLease(d time.Duration) time.Duration { return time.Duration(float64(d) / minClockRate) }
 
+// minRenewalWait is the shortest wait for a change while a lease runs out.
+const minRenewalWait = 100 * time.Millisecond
+
+// RenewalWait returns how long a call may wait for a change which next renews a lease, given when the lease ends by now
+// and how long such a call waits otherwise. A lease that runs out, as after an outage of the store, is renewed while
+// there is time.
+func RenewalWait(end clock.Instant, longest time.Duration) time.Duration {
+	left := end.Sub(clock.Now())
+	if left <= 0 {
+		return longest // It is too late.
+	}
+	return min(longest, max(minRenewalWait, left/3))
+}
+
 // lease tracks how far the worker's lease may be and was extended. All times are on the agent's
 // clock unless the worker's is named.
 type lease struct {
