dispatch: paces are compared with the stored ones once per estimate

Change: the comparison notes the estimate that it looked at. What is stored, and when, stays the same. Result: TestPacesAreComparedOncePerEstimate fails before (2 allocations in each pass without a new estimate) and passes; the package's tests of paces pass.

--- a/internal/dispatch/learn.go
+++ b/internal/dispatch/learn.go
@@ -45,6 +45,8 @@
 	told     map[string]float64 // The machines' paces that plans go by.
 	stored   map[string]pace.Known
 	storedAt clock.Instant
+	// comparedAt is the time of the estimate that was last compared with what is stored.
+	comparedAt clock.Instant
 }
 
 // runProgress is the progress of a member from the first report on.
@@ -207,9 +209,10 @@
 // stored as long as all workers are alike.
 func (ap *activePlanner) paceRecords(now clock.Instant) []journal.Record {
 	l := &ap.learner
-	if now.Sub(l.storedAt) < storeInterval || l.fittedAt <= l.storedAt {
+	if now.Sub(l.storedAt) < storeInterval || l.fittedAt <= l.comparedAt {
 		return nil
 	}
+	l.comparedAt = l.fittedAt
 	known := l.paces.Known()
 	uneven := false
 	changed := make(map[int]bool)
