dispatch: a plan looks for urgent arrivals among new jobs only

Cause: each plan walked all jobs that are kept, also those that ended minutes ago, for the urgent work of the last 20 s. Change: the planner keeps a list of the jobs that were submitted lately, which each plan shortens. TestUrgentArrivals passes before and after: the arrivals are the same.

--- a/internal/dispatch/active.go
+++ b/internal/dispatch/active.go
@@ -48,6 +48,7 @@
 	appliedBefore clock.Instant   // All records stored before then were applied before the last pass.
 	newAgents     []clusterstate.Address
 	jobs          map[string]*job
+	recentJobs    []*job // Of them, those that were submitted lately and are neither scheduled nor endless.
 	workers       map[string]*worker
 	members       map[string]*member // By task.
 	unstored      []*member          // Claimed, but the store has rejected the records of their jobs.
@@ -243,10 +244,19 @@
 	return out
 }
 
+// addJob adds the planner's copy of a job that was submitted no longer ago than maxAge.
+func (ap *activePlanner) addJob(stored *clusterstate.Job, maxAge time.Duration) *job {
+	j := newJob(stored, maxAge)
+	ap.jobs[stored.Spec.ID] = j
+	if !j.spec.Scheduled() && !j.spec.Endless() {
+		ap.recentJobs = append(ap.recentJobs, j)
+	}
+	return j
+}
+
 // adopt takes over a job and the runs that earlier planners claimed for it.
 func (ap *activePlanner) adopt(stored *clusterstate.Job) {
-	j := newJob(stored, math.MaxInt64)
-	ap.jobs[stored.Spec.ID] = j
+	j := ap.addJob(stored, math.MaxInt64)
 	for key, u := range j.progress.Units {
 		for _, m := range u.Members {
 			ap.addMember(j, key, m, u.Run, adopted)
@@ -351,7 +361,7 @@
 		}
 		j, known := ap.jobs[id]
 		if !known {
-			ap.jobs[id] = newJob(stored, clock.Since(appliedBefore))
+			ap.addJob(stored, clock.Since(appliedBefore))
 			continue
 		}
 		j.cancelled = stored.Cancelled
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -125,9 +125,12 @@
 // appendUrgentArrivals adds the urgent work that was submitted lately. It is taken from the jobs, so a planner that
 // steps up knows it too.
 func (ap *activePlanner) appendUrgentArrivals(v *schedule.View) {
-	for _, j := range ap.jobs {
+	ap.recentJobs = slices.DeleteFunc(ap.recentJobs, func(j *job) bool {
+		return v.Now.Sub(j.submitted) > schedule.UrgentMemory || ap.jobs[j.spec.ID] != j
+	})
+	for _, j := range ap.recentJobs {
 		q := ap.currentQueue(j)
-		if q.Priority != 0 || j.spec.Scheduled() || j.spec.Endless() || v.Now.Sub(j.submitted) > schedule.UrgentMemory {
+		if q.Priority != 0 {
 			continue
 		}
 		a := schedule.UrgentArrival{Service: q.Service, Submitted: j.submitted}
@@ -138,7 +141,7 @@
 		}
 		v.UrgentArrivals = append(v.UrgentArrivals, a)
 	}
-	slices.SortFunc(v.UrgentArrivals, func(a, b schedule.UrgentArrival) int { return a.Submitted.Compare(b.Submitted) })
+	slices.SortStableFunc(v.UrgentArrivals, func(a, b schedule.UrgentArrival) int { return a.Submitted.Compare(b.Submitted) })
 }
 
 func (ap *activePlanner) appendWorkers(v *schedule.View, idx *viewIndex) map[*worker]int {
