schedule: one notion of a worker's pace

Cause: whether patient work needs fast workers went by Worker.pace(), for which a worker that isn't known has pace 1, while classes and limits count it as the mean of the known ones. Change: prefersFast goes by the planner's paces. Those in which cold workers count as slower are kept apart: what a unit takes isn't stretched by that.

--- a/internal/schedule/pace.go
+++ b/internal/schedule/pace.go
@@ -24,10 +24,12 @@
 		mean = sum / float64(known)
 	}
 	p.paces = make([]float64, len(p.Workers))
+	p.coldPaces = make([]float64, len(p.Workers))
 	p.classes = make([]int, len(p.Workers))
 	for i := range p.Workers {
-		p.paces[i] = cmp.Or(p.Workers[i].Pace, mean) * p.Workers[i].coldness()
-		p.classes[i] = pace.Class(p.paces[i])
+		p.paces[i] = cmp.Or(p.Workers[i].Pace, mean)
+		p.coldPaces[i] = p.paces[i] * p.Workers[i].coldness()
+		p.classes[i] = pace.Class(p.coldPaces[i])
 		p.uneven = p.uneven || p.classes[i] != p.classes[0]
 	}
 }
@@ -40,7 +42,7 @@
 	}
 	slowest := 0.0
 	for _, i := range workers {
-		slowest = max(slowest, p.Workers[i].pace())
+		slowest = max(slowest, p.paces[i])
 	}
 	return p.meets(w, 1) && !p.meets(w, slowest)
 }
@@ -124,8 +126,8 @@
 	slow, fast := false, false
 	for i := range p.Workers {
 		if p.Workers[i].open() && p.Workers[i].Service == w.Service {
-			slow = slow || p.paces[i] > limit
-			fast = fast || p.paces[i] <= limit
+			slow = slow || p.coldPaces[i] > limit
+			fast = fast || p.coldPaces[i] <= limit
 		}
 	}
 	if !slow || !fast {
@@ -140,7 +142,7 @@
 func (p *planner) preferFaster(i int, placement []int) []int {
 	w := &p.Waiting[i]
 	limit := p.maxPaceInTime(w)
-	if limit == 0 || !slices.ContainsFunc(placement, func(at int) bool { return p.paces[at] > limit }) {
+	if limit == 0 || !slices.ContainsFunc(placement, func(at int) bool { return p.coldPaces[at] > limit }) {
 		return nil
 	}
 	p.maxPace = limit
--- a/internal/schedule/pace_test.go
+++ b/internal/schedule/pace_test.go
@@ -144,3 +144,32 @@
 		})
 	}
 }
+
+// A worker whose pace isn't known counts as the mean of the known ones wherever a plan asks for its pace.
+func TestUnknownWorkersCountAsTheMean(t *testing.T) {
+	tests := []struct {
+		name  string
+		paces []float64 // The last worker is full.
+		slack float64   // Time to the objective, as a multiple of the estimate.
+		want  int
+	}{
+		{"the unknown one would take too long", []float64{1, 0, 3}, 1.5, 0},
+		{"the unknown one ends it in time", []float64{1, 0, 3}, 2.5, 1},
+		{"none ends it in time", []float64{1, 0, 3}, 0.5, 1},
+		{"no pace is known", []float64{0, 0, 0}, 1.5, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := waitingUnit(newStep(8), 1)
+			w.Objective = testStart.Add(time.Duration(tt.slack * float64(w.Estimate)))
+			v := &schedule.View{Now: testStart, Workers: newWorkers(3), SpreadCounts: make([]map[int]int, 1), Waiting: []schedule.WaitingUnit{w}}
+			for i, p := range tt.paces {
+				v.Workers[i].Pace = p
+			}
+			v.Running = []schedule.RunningUnit{{Team: "t", Step: newStep(8), Workers: []int{2}}}
+			if diff := cmp.Diff([]schedule.Start{{Workers: []int{tt.want}}}, schedule.ComputePlan(v).Starts); diff != "" {
+				t.Errorf("starts (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/schedule/place.go
+++ b/internal/schedule/place.go
@@ -11,7 +11,7 @@
 // eligible reports whether the unit's tasks may run on the worker at all, whatever is free there.
 func (p *planner) eligible(w *WaitingUnit, worker int) bool {
 	o := &p.Workers[worker]
-	return o.Schedulable && (!o.Paused || p.allowPaused) && (p.maxPace == 0 || p.paces[worker] <= p.maxPace) && o.Takes(w.Service, w.Step) && (worker != w.AvoidWorker || !p.Now.Before(w.AvoidUntil))
+	return o.Schedulable && (!o.Paused || p.allowPaused) && (p.maxPace == 0 || p.coldPaces[worker] <= p.maxPace) && o.Takes(w.Service, w.Step) && (worker != w.AvoidWorker || !p.Now.Before(w.AvoidUntil))
 }
 
 // maxPauseWait is how long a unit waits for another worker than the paused ones if there is none that could
--- a/internal/schedule/plan.go
+++ b/internal/schedule/plan.go
@@ -50,7 +50,8 @@
 	spreadCounts []map[int]int // View.SpreadCounts plus the tasks that this plan places.
 	classes      []int         // Of the workers, by their paces.
 	uneven       bool          // The workers are of several classes.
-	paces        []float64     // Of the workers.
+	paces        []float64     // Of the workers, which tell how long a unit takes there.
+	coldPaces    []float64     // The same, but cold workers count as slower than all others.
 	maxPace      float64       // The unit that is being planned uses no slower workers; zero for no limit.
 }
 
--- a/internal/schedule/view.go
+++ b/internal/schedule/view.go
@@ -30,14 +30,6 @@
 	minCold = 500 * time.Millisecond
 )
 
-// pace returns the worker's pace, or 1 if it isn't known.
-func (w *Worker) pace() float64 {
-	if w.Pace <= 0 {
-		return 1
-	}
-	return w.Pace
-}
-
 // coldness returns how many times longer a task counts as taking on the worker than once it is warm.
 func (w *Worker) coldness() float64 {
 	if w.Cold < minCold {
