dispatch, clusterstate: rejected records of paces are stored again

Change: a rejected record is logged, and its paces count as not stored: they are stored 5 s later at the earliest. The encoding keeps within the bounds of the decoding. Result: TestRejectedPacesAreStoredAgain (0 of 6 paces before) and TestPaceRecordsAreAccepted (before: pace [1388 9] of machine "m-odd" refused) fail before and pass.

--- a/internal/clusterstate/paces.go
+++ b/internal/clusterstate/paces.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"maps"
 	"math"
+	"slices"
 	"strconv"
+	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -31,13 +33,21 @@
 // PaceBlock returns the number of the record that has a machine's pace.
 func PaceBlock(machine string) int { return int(xxhash.Sum64String(machine) % PaceBlocks) }
 
-// PaceRecord records the paces of the machines of a block.
+// PaceKey returns the key of the record of a block.
+func PaceKey(block int) string { return pacePrefix + strconv.Itoa(block) }
+
+// PaceRecord records the paces of the machines of a block, within the bounds that other processes hold them to.
 func PaceRecord(block int, known map[string]pace.Known) journal.Record {
-	out := make(map[string]storedPace, len(known))
-	for machine, k := range known {
-		out[machine] = storedPace{int(math.Round(paceScale * k.LogPace)), k.Readings}
+	out := make(map[string]storedPace, min(len(known), MaxPaces))
+	for _, machine := range slices.Sorted(maps.Keys(known)) {
+		k := known[machine]
+		if len(out) >= MaxPaces || machine == "" || len(machine) > maxMachine || !utf8.ValidString(machine) || math.IsNaN(k.LogPace) || k.Readings < 1 {
+			continue
+		}
+		logPace := max(-pace.MaxLogPace, min(pace.MaxLogPace, k.LogPace))
+		out[machine] = storedPace{int(math.Round(paceScale * logPace)), k.Readings}
 	}
-	return record(pacePrefix+strconv.Itoa(block), out)
+	return record(PaceKey(block), out)
 }
 
 // Paces returns what planners have learned of the machines' paces.
--- a/internal/clusterstate/paces_test.go
+++ b/internal/clusterstate/paces_test.go
@@ -1,9 +1,13 @@
 package clusterstate_test
 
 import (
+	"flag"
+	"math"
+	"strconv"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
 
 	"sniperill.example/sniperill/internal/clusterstate"
 	"sniperill.example/sniperill/internal/journal"
@@ -52,3 +56,33 @@
 		})
 	}
 }
+
+// Whatever a planner has learned, its records are accepted by others.
+func TestPaceRecordsAreAccepted(t *testing.T) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		t.Fatal(err)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		known := rapid.MapOf(rapid.OneOf(rapid.String(), rapid.StringN(200, 300, -1), rapid.Just("m\xff")), rapid.Custom(func(t *rapid.T) pace.Known {
+			return pace.Known{LogPace: rapid.Float64().Draw(t, "logarithm"), Readings: rapid.IntRange(-1, math.MaxInt).Draw(t, "readings")}
+		})).Draw(t, "paces")
+		known["m-odd"] = pace.Known{LogPace: 13.88, Readings: 9}
+		known["m-none"] = pace.Known{LogPace: math.NaN(), Readings: 1}
+		known["m-some"] = pace.Known{LogPace: -0.25, Readings: 4}
+		s := &clusterstate.State{}
+		if err := s.Apply(clusterstate.PaceRecord(3, known)); err != nil {
+			t.Fatal(err)
+		}
+		got := s.Paces()
+		if got["m-odd"].LogPace != pace.MaxLogPace || got["m-some"] != known["m-some"] {
+			t.Errorf("read %v and %v, want the largest pace and %v", got["m-odd"], got["m-some"], known["m-some"])
+		}
+	})
+	many := make(map[string]pace.Known)
+	for i := range clusterstate.MaxPaces + 1 {
+		many[strconv.Itoa(i)] = pace.Known{Readings: 1}
+	}
+	if s := apply(t, clusterstate.PaceRecord(3, many)); len(s.Paces()) != clusterstate.MaxPaces {
+		t.Errorf("read %d paces, want %d", len(s.Paces()), clusterstate.MaxPaces)
+	}
+}
--- a/internal/dispatch/active.go
+++ b/internal/dispatch/active.go
@@ -286,8 +286,11 @@
 	for key := range rejected {
 		if j, ok := b.jobs[key]; ok {
 			j.retry()
+		} else {
+			ap.Log.Warn().Str("record", key).Msg("The store has rejected a record of a planning pass.")
 		}
 	}
+	ap.learner.noteRejected(rejected)
 	ap.unstored = nil
 	for _, m := range started {
 		switch {
--- a/internal/dispatch/learn.go
+++ b/internal/dispatch/learn.go
@@ -245,6 +245,18 @@
 	return out
 }
 
+// noteRejected makes the paces whose records the store has rejected count as not stored, so that they are stored
+// again.
+func (l *learner) noteRejected(rejected map[string]bool) {
+	maps.DeleteFunc(l.stored, func(machine string, _ pace.Known) bool {
+		if !rejected[clusterstate.PaceKey(clusterstate.PaceBlock(machine))] {
+			return false
+		}
+		l.comparedAt = 0
+		return true
+	})
+}
+
 // machinesByUse returns the names of the known machines, those of current workers first.
 func (ap *activePlanner) machinesByUse(known map[string]pace.Known) []string {
 	used := make(map[string]bool)
--- a/internal/dispatch/learn_test.go
+++ b/internal/dispatch/learn_test.go
@@ -135,3 +135,28 @@
 		}
 	})
 }
+
+// The store rejects the records of the paces for a while. They are stored soon after.
+func TestRejectedPacesAreStoredAgain(t *testing.T) {
+	withVirtualTime(t, func(t *testing.T) {
+		c, _ := newUnevenCluster(t, 6, "worker-1", "worker-4")
+		checker := c.watchRuns()
+		time.Sleep(3 * time.Second)
+		c.store.Reject("pace/")
+		c.submit("a", "red", "batch", many(task(3, 8), 24))
+		c.await(60*time.Second, shop.Done, "a")
+		time.Sleep(6 * time.Second)
+		c.store.Reject("")
+		time.Sleep(6 * time.Second)
+		state := &clusterstate.State{}
+		for _, r := range c.store.Records() {
+			if err := state.Apply(r); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if got := len(state.Paces()); got != 6 {
+			t.Errorf("the paces of %d machines are stored, want 6", got)
+		}
+		c.reportViolations(checker)
+	})
+}
