schedule: fast workers for urgent work are free ones first, and suit it otherwise

Cause: where the free workers that suit an urgent unit best don't end it in time, the plan looked for victims on faster ones at once. If fast ones were free (of the same class, or of another rack), it reserved these for a second and started nothing. And the limit on the pace counted when the groups of workers were chosen, so that a gang for one rack, or a unit with its data in one, was taken apart from it, where it takes several times as long. Change: free workers within the limit come first, and groups of workers are chosen without it. Result: TestFasterWorkersStaySuitable fails before and passes.

--- a/internal/schedule/faster_test.go
+++ b/internal/schedule/faster_test.go
@@ -58,3 +58,41 @@
 		})
 	}
 }
+
+// What makes an urgent unit end in time is used at once if it is free, and never by running apart from its rack or data,
+// which would take longer than a slow worker.
+func TestFasterWorkersStaySuitable(t *testing.T) {
+	tests := []struct {
+		name     string
+		paces    []float64 // Three workers to a rack.
+		busy     []int     // Workers that patient work fills.
+		members  int
+		sameRack bool
+		dataRack string
+		starts   []int
+	}{
+		{"a fast enough one of the same class is free", []float64{1.09, 1, 2, 2, 2, 2}, []int{2, 3, 4, 5}, 1, false, "", []int{1}},
+		{"no rack has enough fast workers", []float64{1, 2, 2, 1, 2, 2}, []int{0, 3}, 2, true, "", []int{1, 2}},
+		{"the data's rack is slow", []float64{2, 2, 2, 1, 1, 1}, []int{3, 4}, 1, false, "r1-0", []int{0}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			step := newStep(8)
+			step.Gang, step.SameRack, step.DataRack = tt.members > 1, tt.sameRack, tt.dataRack
+			w := waitingUnit(step, tt.members)
+			w.Priority, w.Objective = 0, testStart.Add(10500*time.Millisecond)
+			v := &schedule.View{Now: testStart, Workers: newWorkers(6), SpreadCounts: make([]map[int]int, 1), Waiting: []schedule.WaitingUnit{w}}
+			for i, p := range tt.paces {
+				v.Workers[i].Pace = p
+			}
+			for _, i := range tt.busy {
+				v.Running = append(v.Running, schedule.RunningUnit{Team: "u", Priority: 1, Step: newStep(8), Workers: []int{i}})
+			}
+			plan := schedule.ComputePlan(v)
+			want := schedule.Plan{Starts: []schedule.Start{{Workers: tt.starts}}}
+			if diff := cmp.Diff(want, plan); diff != "" {
+				t.Errorf("plan (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/schedule/pace.go
+++ b/internal/schedule/pace.go
@@ -136,19 +136,22 @@
 	return limit
 }
 
-// preferFaster returns the workers on which an urgent unit will start once others have given way there, if it ends in
-// time there but not on the workers of the placement that is free for it. The cost is bounded even within a guarantee,
-// as the unit could start without any.
-func (p *planner) preferFaster(i int, placement []int) []int {
+// preferFaster returns the workers on which an urgent unit ends in time if it doesn't on those of the placement that is
+// free for it, and whether these are free, too. If not, it starts there once others have given way. The cost is bounded
+// even within a guarantee, as the unit could start without any.
+func (p *planner) preferFaster(i int, placement []int) (workers []int, free bool) {
 	w := &p.Waiting[i]
 	limit := p.maxPaceInTime(w)
 	if limit == 0 || !slices.ContainsFunc(placement, func(at int) bool { return p.coldPaces[at] > limit }) {
-		return nil
+		return nil, false
 	}
 	p.maxPace = limit
 	defer func() { p.maxPace = 0 }()
+	if workers = p.findPlacement(w); workers != nil {
+		return workers, true
+	}
 	if p.reservationFits(w) {
-		return w.ReservedWorkers
+		return w.ReservedWorkers, false
 	}
-	return p.preemptWithin(i, w.maxPreemptionCost())
+	return p.preemptWithin(i, w.maxPreemptionCost()), false
 }
--- a/internal/schedule/place.go
+++ b/internal/schedule/place.go
@@ -11,7 +11,12 @@
 // eligible reports whether the unit's tasks may run on the worker at all, whatever is free there.
 func (p *planner) eligible(w *WaitingUnit, worker int) bool {
 	o := &p.Workers[worker]
-	return o.Schedulable && (!o.Paused || p.allowPaused) && (p.maxPace == 0 || p.coldPaces[worker] <= p.maxPace) && o.Takes(w.Service, w.Step) && (worker != w.AvoidWorker || !p.Now.Before(w.AvoidUntil))
+	return o.Schedulable && (!o.Paused || p.allowPaused) && o.Takes(w.Service, w.Step) && (worker != w.AvoidWorker || !p.Now.Before(w.AvoidUntil))
+}
+
+// fastEnough reports whether the worker is no slower than the limit of the unit that is being planned.
+func (p *planner) fastEnough(worker int) bool {
+	return p.maxPace == 0 || p.coldPaces[worker] <= p.maxPace
 }
 
 // maxPauseWait is how long a unit waits for another worker than the paused ones if there is none that could
@@ -140,7 +145,7 @@
 	candidates := make([]int, 0, len(workers))
 	total := 0
 	for _, i := range workers {
-		if !p.eligible(w, i) {
+		if !p.eligible(w, i) || !p.fastEnough(i) {
 			continue
 		}
 		if n := min(p.spreadAllowance(w, i), p.free[i].FitCount(demand, w.Members)); n > 0 {
--- a/internal/schedule/plan.go
+++ b/internal/schedule/plan.go
@@ -174,7 +174,11 @@
 	if placement == nil {
 		placement = p.backfill(w)
 	}
-	if faster := p.preferFaster(i, placement); faster != nil {
+	faster, free := p.preferFaster(i, placement)
+	switch {
+	case free:
+		placement = faster
+	case faster != nil:
 		p.plan.Reservations = append(p.plan.Reservations, Reservation{WaitingIndex: i, Workers: faster})
 		p.allocate(w, faster)
 		return
@@ -294,7 +298,7 @@
 	taken := make(map[int]workflow.Resources)
 	tasks := make(map[int]int)
 	for _, worker := range w.ReservedWorkers {
-		if !p.eligible(w, worker) || tasks[worker] >= p.spreadAllowance(w, worker) {
+		if !p.eligible(w, worker) || !p.fastEnough(worker) || tasks[worker] >= p.spreadAllowance(w, worker) {
 			return false
 		}
 		left := p.free[worker].Plus(p.releasing[worker]).Minus(taken[worker])
--- a/internal/schedule/preempt.go
+++ b/internal/schedule/preempt.go
@@ -130,7 +130,7 @@
 		best, bestCost := -1, 0.0
 		var bestVictims []int
 		for _, i := range workers {
-			if !s.eligible(w, i) || used[i] >= s.spreadAllowance(w, i) {
+			if !s.eligible(w, i) || !s.fastEnough(i) || used[i] >= s.spreadAllowance(w, i) {
 				continue
 			}
 			victims, cost, ok := s.selectVictims(i, demand)
