schedule: times go by the paces of the workers in question

Cause: whether a unit can still end in time, whether one ends before a large unit starts whose resources it borrows, and where a large unit's room is free soonest took all workers as being of median speed. Change: deadlineRank goes by the fastest workers that have room for the unit, backfill by those that it would borrow, and earliestPlacement looks for the earliest end. Only learnt paces of several classes call for it.

--- a/internal/schedule/load_test.go
+++ b/internal/schedule/load_test.go
@@ -83,6 +83,8 @@
 	powerLossAt time.Duration
 	// paces holds the run time factors of the workers, in turn.
 	paces []float64
+	// told makes views tell the run time that remains to a unit, as its progress does.
+	told bool
 }
 
 func newLoadSimulation(c loadCase, seed uint64) *loadSimulation {
@@ -163,8 +165,10 @@
 }
 
 func (l *loadSimulation) run() loadResult {
-	arrivals := l.drawJobs()
-	l.jobs = arrivals
+	if l.jobs == nil {
+		l.jobs = l.drawJobs()
+	}
+	arrivals := l.jobs
 	for left := len(arrivals); left > 0; l.now = l.now.Add(tickInterval) {
 		changed := false
 		for len(arrivals) > 0 && !arrivals[0].submitted.After(l.now) {
@@ -260,9 +264,13 @@
 			if j.step.Checkpoints {
 				lost = 0 // A stop saves what was done.
 			}
+			remaining := max(0, j.step.Estimate-ran)
+			if l.told {
+				remaining = max(0, l.runTime(u)-ran)
+			}
 			v.Running = append(v.Running, schedule.RunningUnit{
 				Team: teamName(j.team), Priority: j.class.priority, Submitted: j.submitted, Step: j.step, Workers: u.workers,
-				Stopping: !u.stopEnds.IsZero(), LostRunTime: lost, RemainingRunTime: max(0, j.step.Estimate-ran), GaveWay: u.gaveWay,
+				Stopping: !u.stopEnds.IsZero(), LostRunTime: lost, RemainingRunTime: remaining, GaveWay: u.gaveWay,
 			})
 			continue
 		}
@@ -343,7 +351,7 @@
 		shares = append(shares, w.earned/w.possible)
 	}
 	slices.SortFunc(shares, cmp.Compare)
-	r.earnedShare, r.worstWindowsShare = earned/possible, (shares[0]+shares[1])/2
+	r.earnedShare, r.worstWindowsShare = earned/possible, (shares[0]+shares[min(1, len(shares)-1)])/2
 	r.wastedShare, r.urgentLateShare = wastedCoreSecondCost*l.lostCoreSeconds/possible, late/max(1, urgent)
 	return r
 }
--- a/internal/schedule/pace.go
+++ b/internal/schedule/pace.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sniperill.example/sniperill/internal/pace"
+	"sniperill.example/sniperill/pkg/workflow"
 )
 
 // initClasses divides the workers into classes by their paces; cold ones count as slower. A worker that isn't known is
@@ -31,9 +32,62 @@
 		p.coldPaces[i] = p.paces[i] * p.Workers[i].coldness()
 		p.classes[i] = pace.Class(p.coldPaces[i])
 		p.uneven = p.uneven || p.classes[i] != p.classes[0]
+		p.learnt = p.learnt || pace.Class(p.paces[i]) != pace.Class(p.paces[0])
 	}
 }
 
+// runTime returns how long a unit takes on a worker.
+func (p *planner) runTime(w *WaitingUnit, worker int) time.Duration {
+	if !p.learnt {
+		return w.Estimate
+	}
+	return time.Duration(p.paces[worker] * float64(w.Estimate))
+}
+
+// gangTime returns how long a unit takes on the workers of its members, which end with the slowest.
+func (p *planner) gangTime(w *WaitingUnit, placement []int) time.Duration {
+	longest := time.Duration(0)
+	for _, i := range placement {
+		longest = max(longest, p.runTime(w, i))
+	}
+	return longest
+}
+
+// sizeKey tells apart the units for which shortestTime may have different results.
+type sizeKey struct {
+	step     *workflow.Step
+	members  int
+	estimate time.Duration
+}
+
+// shortestTime returns how long a unit takes on the fastest workers that have room for all its members once they are
+// empty.
+func (p *planner) shortestTime(w *WaitingUnit) time.Duration {
+	if !p.learnt || w.Step.Endless {
+		return w.Estimate
+	}
+	key := sizeKey{w.Step, w.Members, w.Estimate}
+	if t, known := p.shortest[key]; known {
+		return t
+	}
+	if p.fastest == nil {
+		p.fastest = slices.Clone(p.allWorkers)
+		slices.SortStableFunc(p.fastest, func(a, b int) int { return cmp.Compare(p.paces[a], p.paces[b]) })
+	}
+	t, n := w.Estimate, 0
+	for _, i := range p.fastest {
+		if o := &p.Workers[i]; o.open() && o.Takes(w.Service, w.Step) {
+			n += min(cmp.Or(w.Step.MaxPerWorker, w.Members), o.Resources.FitCount(w.Step.Demand(), w.Members))
+		}
+		if n >= w.Members {
+			t = p.runTime(w, i)
+			break
+		}
+	}
+	p.shortest[key] = t
+	return t
+}
+
 // prefersFast reports whether a unit should run on the fast ones of the workers. Other work leaves these to urgent
 // work as long as slower workers end it in time.
 func (p *planner) prefersFast(w *WaitingUnit, workers []int) bool {
--- a/internal/schedule/plan.go
+++ b/internal/schedule/plan.go
@@ -47,12 +47,15 @@
 	// how long these can't start yet.
 	kept         []workflow.Resources
 	keptFor      []time.Duration
-	spreadCounts []map[int]int // View.SpreadCounts plus the tasks that this plan places.
-	classes      []int         // Of the workers, by their paces.
-	uneven       bool          // The workers are of several classes.
-	paces        []float64     // Of the workers, which tell how long a unit takes there.
-	coldPaces    []float64     // The same, but cold workers count as slower than all others.
-	maxPace      float64       // The unit that is being planned uses no slower workers; zero for no limit.
+	spreadCounts []map[int]int             // View.SpreadCounts plus the tasks that this plan places.
+	classes      []int                     // Of the workers, by their paces.
+	uneven       bool                      // The workers are of several classes.
+	learnt       bool                      // They are by their paces alone, whether or not some are cold.
+	paces        []float64                 // Of the workers, which tell how long a unit takes there.
+	coldPaces    []float64                 // The same, but cold workers count as slower than all others.
+	fastest      []int                     // All indices into Workers, the fastest first; nil until it is needed.
+	shortest     map[sizeKey]time.Duration // Results of shortestTime.
+	maxPace      float64                   // The unit that is being planned uses no slower workers; zero for no limit.
 }
 
 // rack is the workers of one service in one rack.
@@ -63,7 +66,7 @@
 
 // ComputePlan decides which waiting units start and which running units are preempted.
 func ComputePlan(v *View) Plan {
-	p := &planner{View: v, preempted: make([]bool, len(v.Running)), pausedNeeded: make(map[pausedKey]bool)}
+	p := &planner{View: v, preempted: make([]bool, len(v.Running)), pausedNeeded: make(map[pausedKey]bool), shortest: make(map[sizeKey]time.Duration)}
 	for _, b := range v.SpreadCounts {
 		p.spreadCounts = append(p.spreadCounts, maps.Clone(b))
 	}
@@ -143,7 +146,7 @@
 // deadlineRank returns 0 if the unit can still meet its objective, 1 if it can still end by its
 // hard deadline and so earn the part for late work, and 2 otherwise.
 func (p *planner) deadlineRank(w *WaitingUnit) int {
-	end := p.Now.Add(w.Estimate)
+	end := p.Now.Add(p.shortestTime(w))
 	switch {
 	case !end.After(w.Objective):
 		return 0
@@ -231,7 +234,7 @@
 	var lent []int
 	fits := false
 	for i, kept := range p.kept {
-		if kept != (workflow.Resources{}) && backfillFactor*w.Estimate <= p.keptFor[i] {
+		if kept != (workflow.Resources{}) && backfillFactor*p.runTime(w, i) <= p.keptFor[i] {
 			lent = append(lent, i)
 			p.free[i] = p.free[i].Plus(kept)
 			fits = fits || p.free[i].Fits(w.Step.Demand())
@@ -244,6 +247,11 @@
 	for _, i := range lent {
 		p.free[i] = p.free[i].Minus(p.kept[i])
 	}
+	if took := p.gangTime(w, placement); slices.ContainsFunc(placement, func(i int) bool {
+		return slices.Contains(lent, i) && backfillFactor*took > p.keptFor[i]
+	}) {
+		return nil
+	}
 	return placement
 }
 
--- a/internal/schedule/preempt.go
+++ b/internal/schedule/preempt.go
@@ -23,10 +23,12 @@
 	// releaseCost returns the cost of releasing a unit's resources, or false if they may not be
 	// released.
 	releaseCost func(running int) (float64, bool)
+	// memberCost returns the cost of placing a member on a worker; nil if there is none.
+	memberCost func(worker int) float64
 }
 
-func (p *planner) newSimulation(releaseCost func(int) (float64, bool)) *simulation {
-	s := &simulation{planner: p, free: make([]workflow.Resources, len(p.free)), released: make([]bool, len(p.Running)), releaseCost: releaseCost}
+func (p *planner) newSimulation(releaseCost func(int) (float64, bool), memberCost func(int) float64) *simulation {
+	s := &simulation{planner: p, free: make([]workflow.Resources, len(p.free)), released: make([]bool, len(p.Running)), releaseCost: releaseCost, memberCost: memberCost}
 	for i := range p.free {
 		s.free[i] = p.free[i].Plus(p.releasing[i])
 	}
@@ -50,7 +52,7 @@
 			return 0, false
 		}
 		return r.PreemptionCost(), true
-	})
+	}, nil)
 }
 
 // PreemptionCost returns what stopping the unit in favour of another costs, in core seconds.
@@ -88,15 +90,19 @@
 }
 
 // earliestPlacement returns the placement whose resources are free soonest, going by the estimated
-// run times, and the time until they are.
+// run times, and the time until they are. On workers of different paces, what counts is when the unit ends.
 func (p *planner) earliestPlacement(w *WaitingUnit) (placement []int, startsIn time.Duration) {
+	var memberCost func(int) float64
+	if p.learnt && !w.Step.Endless {
+		memberCost = func(worker int) float64 { return p.runTime(w, worker).Seconds() }
+	}
 	placement, victims, _ := p.cheapestPlacement(w, func(running int) (float64, bool) {
 		r := &p.Running[running]
 		if r.Stopping || p.preempted[running] || r.Step.Endless {
 			return 0, false
 		}
 		return max(0, r.RemainingRunTime.Seconds()), true
-	})
+	}, memberCost)
 	for _, v := range victims {
 		startsIn = max(startsIn, p.Running[v].RemainingRunTime)
 	}
@@ -104,8 +110,8 @@
 }
 
 // cheapestPlacement tries each group of workers and returns the placement with the lowest cost.
-func (p *planner) cheapestPlacement(w *WaitingUnit, releaseCost func(int) (float64, bool)) (placement, victims []int, cost float64) {
-	base := p.newSimulation(releaseCost)
+func (p *planner) cheapestPlacement(w *WaitingUnit, releaseCost func(int) (float64, bool), memberCost func(int) float64) (placement, victims []int, cost float64) {
+	base := p.newSimulation(releaseCost, memberCost)
 	var best *simulation
 	for _, group := range p.workerGroups(w) {
 		s := base.clone()
@@ -134,6 +140,9 @@
 				continue
 			}
 			victims, cost, ok := s.selectVictims(i, demand)
+			if s.memberCost != nil {
+				cost += s.memberCost(i)
+			}
 			if ok && (best < 0 || cost < bestCost ||
 				cost == bestCost && compareFree(s.free[i], s.free[best]) < 0) {
 				best, bestCost, bestVictims = i, cost, victims
