dispatch: the metrics show the pace of each worker

Cause: an operator saw how many workers were fast or slow, and the pace of one in a log line only. Result: TestPacesAreShown fails before (0 of 3 workers) and passes.

--- a/internal/dispatch/active.go
+++ b/internal/dispatch/active.go
@@ -75,7 +75,7 @@
 		},
 		changedJobs: make(map[string]bool), jobs: make(map[string]*job),
 		workers: make(map[string]*worker), members: make(map[string]*member),
-		learner: learner{told: make(map[string]float64)},
+		learner: learner{told: make(map[string]float64), shown: make(map[string]bool)},
 	}
 }
 
@@ -165,6 +165,7 @@
 	ap.Log.Info().Int64("epoch", ap.epoch).Int("jobs", len(ap.jobs)).Int("agents", len(ap.workers)).
 		Int("tasks", len(ap.members)).Interface("builds", ap.builds()).Msg("Planning.")
 	defer forgetEvacuations()
+	defer ap.learner.forget()
 	for {
 		if err := ap.runPass(ctx); err != nil {
 			return err
--- a/internal/dispatch/learn.go
+++ b/internal/dispatch/learn.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"sniperill.example/sniperill/internal/clock"
 	"sniperill.example/sniperill/internal/clusterstate"
 	"sniperill.example/sniperill/internal/host"
@@ -40,6 +42,7 @@
 	readings []pace.Reading // Since the newest estimate.
 	fittedAt clock.Instant
 	told     map[string]float64 // The machines' paces that plans go by.
+	shown    map[string]bool    // Names of the metrics of the workers' paces.
 	stored   map[string]pace.Known
 	storedAt clock.Instant
 	// comparedAt is the time of the estimate that was last compared with what is stored.
@@ -144,6 +147,7 @@
 				Int("class", pace.Class(now)).Msg("A worker's pace has changed.")
 		}
 		l.told[machine] = now
+		l.show(w.name, now)
 		switch class := pace.Class(now); {
 		case now == 0:
 			unknown++
@@ -161,6 +165,25 @@
 	newWorkers.Set(unknown)
 }
 
+// show sets the metric of a worker's pace; zero if that isn't known.
+func (l *learner) show(worker string, at float64) {
+	name := paceMetric(worker)
+	if at == 0 {
+		metrics.UnregisterMetric(name)
+		delete(l.shown, name)
+		return
+	}
+	metrics.GetOrCreateGauge(name, nil).Set(at)
+	l.shown[name] = true
+}
+
+// forget removes the metrics of the workers' paces, as another process plans.
+func (l *learner) forget() {
+	for name := range l.shown {
+		metrics.UnregisterMetric(name)
+	}
+}
+
 // load takes over what earlier planners have learned.
 func (l *learner) load(stored map[string]pace.Known) {
 	l.stored = stored
--- a/internal/dispatch/learn_test.go
+++ b/internal/dispatch/learn_test.go
@@ -1,12 +1,16 @@
 package dispatch_test
 
 import (
+	"bytes"
+	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/go-cmp/cmp"
 
 	"sniperill.example/sniperill/internal/clusterstate"
@@ -181,3 +185,43 @@
 		}
 	})
 }
+
+// shownPaces returns the lines of the metrics that tell the workers' paces.
+func shownPaces() (out []string) {
+	var text bytes.Buffer
+	metrics.WritePrometheus(&text, false)
+	for line := range strings.Lines(text.String()) {
+		if strings.HasPrefix(line, "sniperill_planner_worker_pace{") {
+			out = append(out, line)
+		}
+	}
+	return out
+}
+
+// The entry that plans shows the pace of each worker, and none once it has stopped.
+func TestPacesAreShown(t *testing.T) {
+	withVirtualTime(t, func(t *testing.T) {
+		c, _ := newUnevenCluster(t, 3, "worker-1")
+		time.Sleep(3 * time.Second)
+		c.submit("a", "red", "batch", many(task(3, 8), 12))
+		c.await(60*time.Second, shop.Done, "a")
+		for i, line := range shownPaces() {
+			name, value, _ := strings.Cut(strings.TrimSpace(line), " ")
+			pace, err := strconv.ParseFloat(value, 64)
+			if want := fmt.Sprintf(`sniperill_planner_worker_pace{worker="worker-%d"}`, i); name != want {
+				t.Errorf("metric %s, want %s", name, want)
+			}
+			if slow := pace > 1.5; err != nil || slow != (i == 1) {
+				t.Errorf("%s is %v (%v)", name, pace, err)
+			}
+		}
+		if n := len(shownPaces()); n != 3 {
+			t.Errorf("the paces of %d workers are shown, want 3", n)
+		}
+		c.killPlanner()
+		time.Sleep(time.Second)
+		if lines := shownPaces(); len(lines) > 0 {
+			t.Errorf("shown by a planner that has stopped: %q", lines)
+		}
+	})
+}
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -34,6 +35,17 @@
 	newWorkers           = metrics.NewGauge(`sniperill_planner_workers{pace="unknown"}`, nil)
 )
 
+// paceMetric returns the name of the gauge of a worker's pace.
+func paceMetric(worker string) string {
+	label := strings.Map(func(r rune) rune {
+		if r <= ' ' || r > '~' || r == '"' || r == '\\' {
+			return '_'
+		}
+		return r
+	}, worker)
+	return `sniperill_planner_worker_pace{worker="` + label + `"}`
+}
+
 // endLabels are the metric labels of the ways in which a run ends.
 var endLabels = map[host.End]string{
 	0: "unknown", host.Done: "done", host.Failed: "failed", host.Stopped: "stopped",
