pace: old readings and stored paces are forgotten

Cause: a reading counted for as long as the siblings of its task gave new ones, and what an earlier planner had stored for as long as the next one planned, whether or not the machine had run anything since.

--- a/internal/dispatch/active.go
+++ b/internal/dispatch/active.go
@@ -226,7 +226,7 @@
 func (ap *activePlanner) loadState() {
 	ap.mu.Lock()
 	defer ap.mu.Unlock()
-	ap.learner.load(ap.ClusterState.Paces())
+	ap.learner.load(clock.Now(), ap.ClusterState.Paces())
 	for _, a := range ap.ClusterState.Agents() {
 		ap.addWorker(a)
 	}
--- a/internal/dispatch/learn.go
+++ b/internal/dispatch/learn.go
@@ -185,9 +185,9 @@
 }
 
 // load takes over what earlier planners have learned.
-func (l *learner) load(stored map[string]pace.Known) {
+func (l *learner) load(now clock.Instant, stored map[string]pace.Known) {
 	l.stored = stored
-	l.paces = l.paces.WithStored(stored)
+	l.paces = l.paces.WithStored(now, stored)
 	for machine := range stored {
 		l.told[machine] = l.paces.Of(machine)
 	}
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -60,8 +60,10 @@
 type Paces struct {
 	groups map[string]group
 	stored map[string]Known // By an earlier planner.
-	known  map[string]Known
-	spread float64 // Variance of the logarithms of the machines' paces.
+	// storedUntil is when that no longer counts.
+	storedUntil clock.Instant
+	known       map[string]Known
+	spread      float64 // Variance of the logarithms of the machines' paces.
 }
 
 // group is the newest reading of each run of a group, the newest last.
@@ -74,8 +76,9 @@
 
 func (g group) newest() clock.Instant { return g[len(g)-1].At }
 
-// WithStored returns the paces with what an earlier planner has learned.
-func (p Paces) WithStored(stored map[string]Known) Paces {
+// WithStored returns the paces with what an earlier planner has learned, which counts for as long as a reading.
+func (p Paces) WithStored(now clock.Instant, stored map[string]Known) Paces {
+	p.storedUntil = now.Add(Window)
 	p.stored = make(map[string]Known, len(stored))
 	for machine, k := range stored {
 		p.stored[machine] = Known{k.LogPace, min(k.Readings, maxKnownWeight)}
@@ -98,7 +101,16 @@
 		old := slices.DeleteFunc(slices.Clone(p.groups[r.Group]), func(o reading) bool { return o.Run == r.Run })
 		p.groups[r.Group] = append(old, reading{r, math.Log(r.RunTime.Seconds())})
 	}
-	maps.DeleteFunc(p.groups, func(_ string, g group) bool { return now.Sub(g.newest()) > Window })
+	for name, g := range p.groups {
+		if g = slices.DeleteFunc(slices.Clone(g), func(r reading) bool { return now.Sub(r.At) > Window }); len(g) == 0 {
+			delete(p.groups, name)
+		} else {
+			p.groups[name] = g
+		}
+	}
+	if now > p.storedUntil {
+		p.stored = nil
+	}
 	if over := len(p.groups) - MaxGroups; over > 0 {
 		names := slices.SortedFunc(maps.Keys(p.groups), func(a, b string) int {
 			return cmp.Or(cmp.Compare(p.groups[a].newest(), p.groups[b].newest()), cmp.Compare(a, b))
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -143,7 +143,7 @@
 	for range 40 {
 		first = first.With(f.now, f.runJob(8)...)
 	}
-	next := pace.Paces{}.WithStored(first.Known())
+	next := pace.Paces{}.WithStored(f.now, first.Known())
 	for i, off := range f.errors(next) {
 		if off > 0.25 {
 			t.Errorf("machine %d is off by %.2f after a hand-over", i, off)
@@ -167,6 +167,38 @@
 	}
 }
 
+// What an earlier planner has learned is forgotten as readings are, and so are old readings of tasks whose siblings
+// still run.
+func TestOldPacesAreForgotten(t *testing.T) {
+	readings := func(at clock.Instant, run string, slow int) (out []pace.Reading) {
+		for i := range 4 {
+			r := pace.Reading{Group: "j", Run: fmt.Sprint(run, i), Machine: machineName(i), RunTime: 4 * time.Second, At: at}
+			if i == slow {
+				r.RunTime = 12 * time.Second
+			}
+			out = append(out, r)
+		}
+		return out
+	}
+	later := clock.Instant(1).Add(pace.Window + time.Second)
+	stored := map[string]pace.Known{machineName(0): {LogPace: 1, Readings: 4}, machineName(9): {LogPace: 1, Readings: 4}}
+	tests := []struct {
+		name  string
+		paces pace.Paces
+	}{
+		{"stored", pace.Paces{}.WithStored(1, stored)},
+		{"of siblings", pace.Paces{}.With(1, readings(1, "old", 0)...).With(2, readings(2, "older", 0)...)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := tt.paces.With(later, readings(later, "new", -1)...)
+			if slow, other := p.Of(machineName(0)), p.Of(machineName(9)); slow != 1 || other != 0 {
+				t.Errorf("paces %v and %v, want 1 and nothing known", slow, other)
+			}
+		})
+	}
+}
+
 func BenchmarkWith(b *testing.B) {
 	f := newFleet(1, 70, 0.7, 0.7, 1.7)
 	var p pace.Paces
