schedule: what gave way for a unit isn't wasted

Cause: an urgent unit for which others were told to stop on faster workers started on slow ones once it had waited for 1 s, though the stops would end soon after; what they threw away was for nothing. Change: it waits for its reserved workers for 1.5 s. No others give way for it after 1 s, as before. Result: "others take long to give way" of TestUrgentWorkMakesRoomOnFastWorkers fails before and passes.

--- a/internal/schedule/faster_test.go
+++ b/internal/schedule/faster_test.go
@@ -17,6 +17,7 @@
 		busy        []int // Workers that patient work fills, which has lost no run time yet.
 		lost        time.Duration
 		waited      time.Duration
+		stopping    bool // The work on worker 0 has been told to stop for it.
 		guaranteed  int
 		starts      []int
 		preemptions int
@@ -31,6 +32,8 @@
 		{name: "none is fast enough", paces: []float64{2, 4}, busy: []int{0}, starts: []int{1}},
 		{name: "too much would be thrown away", paces: []float64{1, 2}, busy: []int{0}, lost: time.Hour, starts: []int{1}},
 		{name: "it has waited for long", paces: []float64{1, 2}, busy: []int{0}, waited: 2 * time.Second, starts: []int{1}},
+		{name: "others take long to give way", paces: []float64{1, 2}, busy: []int{0}, waited: 1400 * time.Millisecond, stopping: true, reserved: []int{0}},
+		{name: "others take too long to give way", paces: []float64{1, 2}, busy: []int{0}, waited: 1600 * time.Millisecond, stopping: true, starts: []int{1}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -39,9 +42,12 @@
 				v.Workers[i].Pace = p
 			}
 			for _, i := range tt.busy {
-				v.Running = append(v.Running, schedule.RunningUnit{Team: "u", Priority: 1, Step: newStep(8), Workers: []int{i}, LostRunTime: tt.lost})
+				v.Running = append(v.Running, schedule.RunningUnit{Team: "u", Priority: 1, Step: newStep(8), Workers: []int{i}, LostRunTime: tt.lost, Stopping: tt.stopping})
 			}
 			w := waitingUnit(newStep(8), 1)
+			if tt.stopping {
+				w.ReservedWorkers = []int{0}
+			}
 			w.Priority, w.Objective = 0, testStart.Add(15*time.Second+tt.waited)
 			v.Waiting = append(v.Waiting, w)
 			plan := schedule.ComputePlan(v)
--- a/internal/schedule/pace.go
+++ b/internal/schedule/pace.go
@@ -170,10 +170,13 @@
 // work to start within 2.7 s.
 const maxFastWait = time.Second
 
+// maxGivenWait is the same once others were stopped for it, whose run time would be lost for nothing.
+const maxGivenWait = 1500 * time.Millisecond
+
 // maxPaceInTime returns the slowest pace at which an urgent unit that starts now ends by its objective. It returns 0
-// if that excludes no worker, or all of them.
-func (p *planner) maxPaceInTime(w *WaitingUnit) float64 {
-	if !p.uneven || w.Priority != 0 || w.Step.Endless || w.Estimate <= 0 || p.Now.Sub(w.ReadySince) > maxFastWait {
+// if that excludes no worker, or all of them, or if the unit has waited for longer than maxWait.
+func (p *planner) maxPaceInTime(w *WaitingUnit, maxWait time.Duration) float64 {
+	if !p.uneven || w.Priority != 0 || w.Step.Endless || w.Estimate <= 0 || p.Now.Sub(w.ReadySince) > maxWait {
 		return 0
 	}
 	limit := w.Objective.Sub(p.Now).Seconds() / w.Estimate.Seconds()
@@ -195,7 +198,7 @@
 // even within a guarantee, as the unit could start without any.
 func (p *planner) preferFaster(i int, placement []int) (workers []int, free bool) {
 	w := &p.Waiting[i]
-	limit := p.maxPaceInTime(w)
+	limit := p.maxPaceInTime(w, maxGivenWait)
 	if limit == 0 || !slices.ContainsFunc(placement, func(at int) bool { return p.coldPaces[at] > limit }) {
 		return nil, false
 	}
@@ -207,5 +210,8 @@
 	if p.reservationFits(w) {
 		return w.ReservedWorkers, false
 	}
+	if p.Now.Sub(w.ReadySince) > maxFastWait {
+		return nil, false
+	}
 	return p.preemptWithin(i, w.maxPreemptionCost()), false
 }
--- a/internal/schedule/plan.go
+++ b/internal/schedule/plan.go
@@ -269,7 +269,7 @@
 		return w.ReservedWorkers
 	}
 	maxCost := w.maxPreemptionCost()
-	if p.maxPace = p.maxPaceInTime(w); p.maxPace != 0 {
+	if p.maxPace = p.maxPaceInTime(w, maxFastWait); p.maxPace != 0 {
 		placement := p.preemptWithin(i, maxCost)
 		p.maxPace = 0
 		if placement != nil {
