--- a/internal/dispatch/active.go
+++ b/internal/dispatch/active.go
@@ -48,6 +48,7 @@
 	appliedBefore clock.Instant   // All records stored before then were applied before the last pass.
 	newAgents     []clusterstate.Address
 	jobs          map[string]*job
+	recentJobs    []*job // Of them, those that were submitted lately and are neither scheduled nor endless.
 	workers       map[string]*worker
 	members       map[string]*member // By task.
 	unstored      []*member          // Claimed, but the store has rejected the records of their jobs.
@@ -74,7 +75,7 @@
 		},
 		changedJobs: make(map[string]bool), jobs: make(map[string]*job),
 		workers: make(map[string]*worker), members: make(map[string]*member),
-		learner: learner{runs: make(map[*member]*runProgress), told: make(map[string]float64)},
+		learner: learner{told: make(map[string]float64), shown: make(map[string]bool)},
 	}
 }
 
@@ -164,6 +165,7 @@
 	ap.Log.Info().Int64("epoch", ap.epoch).Int("jobs", len(ap.jobs)).Int("agents", len(ap.workers)).
 		Int("tasks", len(ap.members)).Interface("builds", ap.builds()).Msg("Planning.")
 	defer forgetEvacuations()
+	defer ap.learner.forget()
 	for {
 		if err := ap.runPass(ctx); err != nil {
 			return err
@@ -224,7 +226,7 @@
 func (ap *activePlanner) loadState() {
 	ap.mu.Lock()
 	defer ap.mu.Unlock()
-	ap.learner.load(ap.ClusterState.Paces())
+	ap.learner.load(clock.Now(), ap.ClusterState.Paces())
 	for _, a := range ap.ClusterState.Agents() {
 		ap.addWorker(a)
 	}
@@ -243,10 +245,19 @@
 	return out
 }
 
+// addJob adds the planner's copy of a job that was submitted no longer ago than maxAge.
+func (ap *activePlanner) addJob(stored *clusterstate.Job, maxAge time.Duration) *job {
+	j := newJob(stored, maxAge)
+	ap.jobs[stored.Spec.ID] = j
+	if !j.spec.Scheduled() && !j.spec.Endless() {
+		ap.recentJobs = append(ap.recentJobs, j)
+	}
+	return j
+}
+
 // adopt takes over a job and the runs that earlier planners claimed for it.
 func (ap *activePlanner) adopt(stored *clusterstate.Job) {
-	j := newJob(stored, math.MaxInt64)
-	ap.jobs[stored.Spec.ID] = j
+	j := ap.addJob(stored, math.MaxInt64)
 	for key, u := range j.progress.Units {
 		for _, m := range u.Members {
 			ap.addMember(j, key, m, u.Run, adopted)
@@ -276,8 +287,11 @@
 	for key := range rejected {
 		if j, ok := b.jobs[key]; ok {
 			j.retry()
+		} else {
+			ap.Log.Warn().Str("record", key).Msg("The store has rejected a record of a planning pass.")
 		}
 	}
+	ap.learner.noteRejected(rejected)
 	ap.unstored = nil
 	for _, m := range started {
 		switch {
@@ -351,7 +365,7 @@
 		}
 		j, known := ap.jobs[id]
 		if !known {
-			ap.jobs[id] = newJob(stored, clock.Since(appliedBefore))
+			ap.addJob(stored, clock.Since(appliedBefore))
 			continue
 		}
 		j.cancelled = stored.Cancelled
--- a/internal/dispatch/learn_test.go
+++ b/internal/dispatch/learn_test.go
@@ -1,12 +1,16 @@
 package dispatch_test
 
 import (
+	"bytes"
+	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/go-cmp/cmp"
 
 	"sniperill.example/sniperill/internal/clusterstate"
@@ -135,3 +139,89 @@
 		}
 	})
 }
+
+// The store rejects the records of the paces for a while. They are stored soon after.
+func TestRejectedPacesAreStoredAgain(t *testing.T) {
+	withVirtualTime(t, func(t *testing.T) {
+		c, _ := newUnevenCluster(t, 6, "worker-1", "worker-4")
+		checker := c.watchRuns()
+		time.Sleep(3 * time.Second)
+		c.store.Reject("pace/")
+		c.submit("a", "red", "batch", many(task(3, 8), 24))
+		c.await(60*time.Second, shop.Done, "a")
+		time.Sleep(6 * time.Second)
+		c.store.Reject("")
+		time.Sleep(6 * time.Second)
+		state := &clusterstate.State{}
+		for _, r := range c.store.Records() {
+			if err := state.Apply(r); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if got := len(state.Paces()); got != 6 {
+			t.Errorf("the paces of %d machines are stored, want 6", got)
+		}
+		c.reportViolations(checker)
+	})
+}
+
+// A worker answers starts late, when its tasks have made progress. It isn't taken as fast for that.
+func TestLateAnswersTellNoPace(t *testing.T) {
+	withVirtualTime(t, func(t *testing.T) {
+		c, _ := newUnevenCluster(t, 6)
+		late := func(err error) error {
+			time.Sleep(1200 * time.Millisecond)
+			return err
+		}
+		c.agents[0].answerStart.Store(&late)
+		time.Sleep(3 * time.Second)
+		c.submit("a", "red", "batch", many(task(4, 8), 30))
+		c.await(60*time.Second, shop.Done, "a")
+		time.Sleep(6 * time.Second)
+		for _, r := range c.store.Records() {
+			if strings.HasPrefix(r.Key, "pace/") {
+				t.Errorf("record %q was stored: %s", r.Key, r.Value)
+			}
+		}
+	})
+}
+
+// shownPaces returns the lines of the metrics that tell the workers' paces.
+func shownPaces() (out []string) {
+	var text bytes.Buffer
+	metrics.WritePrometheus(&text, false)
+	for line := range strings.Lines(text.String()) {
+		if strings.HasPrefix(line, "sniperill_planner_worker_pace{") {
+			out = append(out, line)
+		}
+	}
+	return out
+}
+
+// The entry that plans shows the pace of each worker, and none once it has stopped.
+func TestPacesAreShown(t *testing.T) {
+	withVirtualTime(t, func(t *testing.T) {
+		c, _ := newUnevenCluster(t, 3, "worker-1")
+		time.Sleep(3 * time.Second)
+		c.submit("a", "red", "batch", many(task(3, 8), 12))
+		c.await(60*time.Second, shop.Done, "a")
+		for i, line := range shownPaces() {
+			name, value, _ := strings.Cut(strings.TrimSpace(line), " ")
+			pace, err := strconv.ParseFloat(value, 64)
+			if want := fmt.Sprintf(`sniperill_planner_worker_pace{worker="worker-%d"}`, i); name != want {
+				t.Errorf("metric %s, want %s", name, want)
+			}
+			if slow := pace > 1.5; err != nil || slow != (i == 1) {
+				t.Errorf("%s is %v (%v)", name, pace, err)
+			}
+		}
+		if n := len(shownPaces()); n != 3 {
+			t.Errorf("the paces of %d workers are shown, want 3", n)
+		}
+		c.killPlanner()
+		time.Sleep(time.Second)
+		if lines := shownPaces(); len(lines) > 0 {
+			t.Errorf("shown by a planner that has stopped: %q", lines)
+		}
+	})
+}
--- a/internal/schedule/pace.go
+++ b/internal/schedule/pace.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sniperill.example/sniperill/internal/pace"
+	"sniperill.example/sniperill/pkg/workflow"
 )
 
 // initClasses divides the workers into classes by their paces; cold ones count as slower. A worker that isn't known is
@@ -24,14 +25,69 @@
 		mean = sum / float64(known)
 	}
 	p.paces = make([]float64, len(p.Workers))
+	p.coldPaces = make([]float64, len(p.Workers))
 	p.classes = make([]int, len(p.Workers))
 	for i := range p.Workers {
-		p.paces[i] = cmp.Or(p.Workers[i].Pace, mean) * p.Workers[i].coldness()
-		p.classes[i] = pace.Class(p.paces[i])
+		p.paces[i] = cmp.Or(p.Workers[i].Pace, mean)
+		p.coldPaces[i] = p.paces[i] * p.Workers[i].coldness()
+		p.classes[i] = pace.Class(p.coldPaces[i])
 		p.uneven = p.uneven || p.classes[i] != p.classes[0]
+		p.learnt = p.learnt || pace.Class(p.paces[i]) != pace.Class(p.paces[0])
 	}
 }
 
+// runTime returns how long a unit takes on a worker.
+func (p *planner) runTime(w *WaitingUnit, worker int) time.Duration {
+	if !p.learnt {
+		return w.Estimate
+	}
+	return time.Duration(p.paces[worker] * float64(w.Estimate))
+}
+
+// gangTime returns how long a unit takes on the workers of its members, which end with the slowest.
+func (p *planner) gangTime(w *WaitingUnit, placement []int) time.Duration {
+	longest := time.Duration(0)
+	for _, i := range placement {
+		longest = max(longest, p.runTime(w, i))
+	}
+	return longest
+}
+
+// sizeKey tells apart the units for which shortestTime may have different results.
+type sizeKey struct {
+	step     *workflow.Step
+	members  int
+	estimate time.Duration
+}
+
+// shortestTime returns how long a unit takes on the fastest workers that have room for all its members once they are
+// empty.
+func (p *planner) shortestTime(w *WaitingUnit) time.Duration {
+	if !p.learnt || w.Step.Endless {
+		return w.Estimate
+	}
+	key := sizeKey{w.Step, w.Members, w.Estimate}
+	if t, known := p.shortest[key]; known {
+		return t
+	}
+	if p.fastest == nil {
+		p.fastest = slices.Clone(p.allWorkers)
+		slices.SortStableFunc(p.fastest, func(a, b int) int { return cmp.Compare(p.paces[a], p.paces[b]) })
+	}
+	t, n := w.Estimate, 0
+	for _, i := range p.fastest {
+		if o := &p.Workers[i]; o.open() && o.Takes(w.Service, w.Step) {
+			n += min(cmp.Or(w.Step.MaxPerWorker, w.Members), o.Resources.FitCount(w.Step.Demand(), w.Members))
+		}
+		if n >= w.Members {
+			t = p.runTime(w, i)
+			break
+		}
+	}
+	p.shortest[key] = t
+	return t
+}
+
 // prefersFast reports whether a unit should run on the fast ones of the workers. Other work leaves these to urgent
 // work as long as slower workers end it in time.
 func (p *planner) prefersFast(w *WaitingUnit, workers []int) bool {
@@ -40,7 +96,7 @@
 	}
 	slowest := 0.0
 	for _, i := range workers {
-		slowest = max(slowest, p.Workers[i].pace())
+		slowest = max(slowest, p.paces[i])
 	}
 	return p.meets(w, 1) && !p.meets(w, slowest)
 }
@@ -114,18 +170,21 @@
 // work to start within 2.7 s.
 const maxFastWait = time.Second
 
+// maxGivenWait is the same once others were stopped for it, whose run time would be lost for nothing.
+const maxGivenWait = 1500 * time.Millisecond
+
 // maxPaceInTime returns the slowest pace at which an urgent unit that starts now ends by its objective. It returns 0
-// if that excludes no worker, or all of them.
-func (p *planner) maxPaceInTime(w *WaitingUnit) float64 {
-	if !p.uneven || w.Priority != 0 || w.Step.Endless || w.Estimate <= 0 || p.Now.Sub(w.ReadySince) > maxFastWait {
+// if that excludes no worker, or all of them, or if the unit has waited for longer than maxWait.
+func (p *planner) maxPaceInTime(w *WaitingUnit, maxWait time.Duration) float64 {
+	if !p.uneven || w.Priority != 0 || w.Step.Endless || w.Estimate <= 0 || p.Now.Sub(w.ReadySince) > maxWait {
 		return 0
 	}
 	limit := w.Objective.Sub(p.Now).Seconds() / w.Estimate.Seconds()
 	slow, fast := false, false
 	for i := range p.Workers {
 		if p.Workers[i].open() && p.Workers[i].Service == w.Service {
-			slow = slow || p.paces[i] > limit
-			fast = fast || p.paces[i] <= limit
+			slow = slow || p.coldPaces[i] > limit
+			fast = fast || p.coldPaces[i] <= limit
 		}
 	}
 	if !slow || !fast {
@@ -134,19 +193,25 @@
 	return limit
 }
 
-// preferFaster returns the workers on which an urgent unit will start once others have given way there, if it ends in
-// time there but not on the workers of the placement that is free for it. The cost is bounded even within a guarantee,
-// as the unit could start without any.
-func (p *planner) preferFaster(i int, placement []int) []int {
+// preferFaster returns the workers on which an urgent unit ends in time if it doesn't on those of the placement that is
+// free for it, and whether these are free, too. If not, it starts there once others have given way. The cost is bounded
+// even within a guarantee, as the unit could start without any.
+func (p *planner) preferFaster(i int, placement []int) (workers []int, free bool) {
 	w := &p.Waiting[i]
-	limit := p.maxPaceInTime(w)
-	if limit == 0 || !slices.ContainsFunc(placement, func(at int) bool { return p.paces[at] > limit }) {
-		return nil
+	limit := p.maxPaceInTime(w, maxGivenWait)
+	if limit == 0 || !slices.ContainsFunc(placement, func(at int) bool { return p.coldPaces[at] > limit }) {
+		return nil, false
 	}
 	p.maxPace = limit
 	defer func() { p.maxPace = 0 }()
+	if workers = p.findPlacement(w); workers != nil {
+		return workers, true
+	}
 	if p.reservationFits(w) {
-		return w.ReservedWorkers
+		return w.ReservedWorkers, false
+	}
+	if p.Now.Sub(w.ReadySince) > maxFastWait {
+		return nil, false
 	}
-	return p.preemptWithin(i, w.maxPreemptionCost())
+	return p.preemptWithin(i, w.maxPreemptionCost()), false
 }
