frontdoor: requests of one HTTP/2 connection are counted each by itself

A connection with HTTP/2 gave nothing back until none of its requests was left, so that a busy one of an ordinary client was closed in the end, with its requests that were at work; it was also closed if one of its requests had no room; one whose requests all waited for bodies never gave way. The lines of encrypted heads weren't counted. Change: each request is charged by itself and gives that back at its end; one without room is reset alone; a connection gives way while all its requests wait for bodies. Bytes of encrypted heads count as those of the shortest lines until the head is whole, then its fields count.

--- a/internal/frontdoor/door.go
+++ b/internal/frontdoor/door.go
@@ -3,6 +3,7 @@
 package frontdoor
 
 import (
+	"bytes"
 	"container/list"
 	"context"
 	"errors"
@@ -23,6 +24,8 @@
 	// strings of each field.
 	headByteCost = 2
 	headLineCost = 250
+	// sealedByteCost is for a byte of an encrypted head, whose lines can't be counted: the shortest has four bytes.
+	sealedByteCost = headByteCost + headLineCost/4
 	// bodyByteCost is for a byte of a body: the buffer, its growth, and what is decoded from it.
 	bodyByteCost = 3
 )
@@ -84,14 +87,18 @@
 	net.Conn
 	door *Door
 
+	sealed bool // It has TLS. Set before the first read.
+
 	// Guarded by door.mu.
-	stage    stage
-	since    time.Time // When the stage began.
-	handlers int       // That run for its requests.
-	held     int64
-	element  *list.Element // In a list of door.still; nil while it is working.
-	list     *list.List
-	gone     bool
+	stage     stage
+	since     time.Time // When the stage began.
+	handlers  int       // That run for its requests.
+	reading   int       // Handlers that wait for a body.
+	bodySince time.Time // Since when there are any.
+	held      int64
+	element   *list.Element // In a list of door.still; nil while it is working.
+	list      *list.List
+	gone      bool
 }
 
 // Listener returns a listener whose connections pass the door.
@@ -188,7 +195,10 @@
 }
 
 // charge reserves bytes for what a client sends. If there is no room, it closes the client's connection.
-func (c *conn) charge(n int64) error {
+func (c *conn) charge(n int64) error { return c.reserve(n, true) }
+
+// reserve reserves bytes. If there is no room, it closes the connection if closes is set.
+func (c *conn) reserve(n int64, closes bool) error {
 	d := c.door
 	d.mu.Lock()
 	if c.gone {
@@ -196,9 +206,13 @@
 		return net.ErrClosed
 	}
 	closed, ok := d.take(c, n)
-	if !ok {
+	switch {
+	case ok:
+	case closes:
 		d.giveWay(c, "no-room")
 		closed = append(closed, c)
+	default:
+		d.count("no-room", c.Conn)
 	}
 	d.show()
 	d.mu.Unlock()
@@ -243,12 +257,35 @@
 	switch s {
 	case working:
 		return
-	case head, body:
+	case body:
+		c.since = c.bodySince
+		c.list = &c.door.still[underWay]
+	case head:
 		c.list = &c.door.still[underWay]
 	default:
 		c.list = &c.door.still[idle]
 	}
-	c.element = c.list.PushBack(c)
+	before := c.list.Back()
+	for before != nil && before.Value.(*conn).since.After(c.since) {
+		before = before.Prev()
+	}
+	if before == nil {
+		c.element = c.list.PushFront(c)
+	} else {
+		c.element = c.list.InsertAfter(c, before)
+	}
+}
+
+// settle begins the stage that its handlers tell. The caller holds door.mu.
+func (c *conn) settle() {
+	switch c.handlers {
+	case 0:
+		c.enter(answering)
+	case c.reading:
+		c.enter(body)
+	default:
+		c.enter(working)
+	}
 }
 
 func (c *conn) leaveList() {
@@ -279,13 +316,11 @@
 	inHead := c.stage == head
 	c.door.mu.Unlock()
 	if inHead {
-		lines := 0
-		for _, b := range p[:n] {
-			if b == '\n' {
-				lines++
-			}
+		cost := n * sealedByteCost
+		if !c.sealed {
+			cost = n*headByteCost + bytes.Count(p[:n], []byte{'\n'})*headLineCost
 		}
-		if err := c.charge(int64(n*headByteCost + lines*headLineCost)); err != nil {
+		if err := c.charge(int64(cost)); err != nil {
 			return 0, err
 		}
 	}
@@ -305,7 +340,7 @@
 	if atWork {
 		c.door.mu.Lock()
 		if c.handlers > 0 {
-			c.enter(working)
+			c.settle()
 		}
 		c.door.mu.Unlock()
 	}
@@ -347,6 +382,9 @@
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		if inner, ok := c.(interface{ NetConn() net.Conn }); ok { // TLS.
 			c = inner.NetConn()
+			if c, ok := c.(*conn); ok {
+				c.sealed = true
+			}
 		}
 		return context.WithValue(ctx, connKey{}, c)
 	}
@@ -356,8 +394,10 @@
 		}
 		if c, ok := c.(*conn); ok && state == http.StateIdle {
 			d.mu.Lock()
-			c.release()
-			c.enter(waiting)
+			if c.handlers == 0 { // With HTTP/2, handlers may outlive their streams.
+				c.release()
+				c.enter(waiting)
+			}
 			d.mu.Unlock()
 		}
 	}
@@ -371,13 +411,15 @@
 			next.ServeHTTP(w, r)
 			return
 		}
+		// The first charge of a head that was encrypted or compressed is an estimate.
+		estimated := c.sealed || r.ProtoMajor > 1
 		d.mu.Lock()
 		dropFields := c.handlers == 0 && c.held > 2*connectionCost && len(d.Headers) > 0
-		if dropFields {
+		if dropFields || estimated && c.handlers == 0 {
 			c.release()
 		}
 		c.handlers++
-		c.enter(working)
+		c.settle()
 		d.mu.Unlock()
 		if dropFields {
 			kept := make(http.Header, len(d.Headers))
@@ -388,54 +430,109 @@
 			}
 			r.Header = kept // Of the server's request too, which it no longer reads.
 		}
-		defer func() {
-			d.mu.Lock()
-			if c.handlers--; c.handlers == 0 {
-				c.enter(answering)
-			}
-			d.mu.Unlock()
-		}()
+		q := &request{conn: c, several: r.ProtoMajor > 1}
+		defer q.end()
+		if estimated && q.charge(headCost(r)) != nil {
+			panic(http.ErrAbortHandler)
+		}
 		call := *r
 		if r.Body != nil && r.Body != http.NoBody {
-			call.Body = &requestBody{ReadCloser: r.Body, conn: c, control: http.NewResponseController(w)}
+			call.Body = &requestBody{ReadCloser: r.Body, request: q, control: http.NewResponseController(w)}
 		}
 		next.ServeHTTP(w, &call)
 	})
 }
 
+// headCost returns what is held for the head of a request.
+func headCost(r *http.Request) int {
+	cost := len(r.RequestURI) * headByteCost
+	for name, values := range r.Header {
+		for _, v := range values {
+			cost += (len(name)+len(v))*headByteCost + headLineCost
+		}
+	}
+	return cost
+}
+
+// request is one that a handler runs for.
+type request struct {
+	conn *conn
+	// several reports whether its connection may have others at the same time.
+	several bool
+	held    int64
+	reading bool
+}
+
+// charge reserves bytes for the request. If there is no room, it closes the connection unless that may have others.
+func (q *request) charge(n int) error {
+	if err := q.conn.reserve(int64(n), !q.several); err != nil {
+		return err
+	}
+	q.held += int64(n)
+	return nil
+}
+
+// setReading notes whether the request's handler waits for the body.
+func (q *request) setReading(reading bool) {
+	if q.reading == reading {
+		return
+	}
+	q.reading = reading
+	c := q.conn
+	c.door.mu.Lock()
+	defer c.door.mu.Unlock()
+	if reading {
+		if c.reading == 0 {
+			c.bodySince = time.Now()
+		}
+		c.reading++
+	} else {
+		c.reading--
+	}
+	c.settle()
+}
+
+// end notes that the request's handler has returned.
+func (q *request) end() {
+	q.setReading(false)
+	c := q.conn
+	c.door.mu.Lock()
+	defer c.door.mu.Unlock()
+	if q.several && !c.gone {
+		c.held -= q.held
+		c.door.bytes -= q.held
+		c.door.show()
+	}
+	c.handlers--
+	c.settle()
+}
+
 // requestBody reserves room for a body as it arrives.
 type requestBody struct {
 	io.ReadCloser
-	conn    *conn
+	request *request
 	control *http.ResponseController
 	begun   bool
 }
 
 // Read reads a part of the body.
 func (b *requestBody) Read(p []byte) (int, error) {
-	c := b.conn
 	if !b.begun {
 		b.begun = true
 		_ = b.control.SetReadDeadline(time.Now().Add(bodyTimeout)) // The server sets it anew after the request.
-		c.enterAlone(body)
+		b.request.setReading(true)
 	}
 	n, err := b.ReadCloser.Read(p)
 	if n > 0 {
-		if err := c.charge(int64(n * bodyByteCost)); err != nil {
+		if err := b.request.charge(n * bodyByteCost); err != nil {
+			if b.request.several {
+				panic(http.ErrAbortHandler) // An answer would have to say whether the request has run.
+			}
 			return 0, err
 		}
 	}
 	if err != nil {
-		c.enterAlone(working)
+		b.request.setReading(false)
 	}
 	return n, err
 }
-
-// enterAlone begins a stage unless the connection has several requests: then the process works on one of them.
-func (c *conn) enterAlone(s stage) {
-	c.door.mu.Lock()
-	defer c.door.mu.Unlock()
-	if c.handlers == 1 {
-		c.enter(s)
-	}
-}
--- a/internal/frontdoor/door_test.go
+++ b/internal/frontdoor/door_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -157,3 +158,119 @@
 		t.Errorf("%d connections and %d bytes are held after the server was closed", d.open, d.bytes)
 	}
 }
+
+// serveHTTP2 serves a handler behind a door until the test ends, over HTTP/2 without TLS.
+func serveHTTP2(t *testing.T, d *Door, h http.HandlerFunc) (url string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &http.Server{Handler: h, Protocols: new(http.Protocols)}
+	s.Protocols.SetUnencryptedHTTP2(true)
+	d.Apply(s)
+	go func() { _ = s.Serve(d.Listener(l)) }()
+	t.Cleanup(func() { s.Close() })
+	return "http://" + l.Addr().String()
+}
+
+// newHTTP2Client returns a client with connections of its own.
+func newHTTP2Client(t *testing.T) *http.Client {
+	t.Helper()
+	transport := &http.Transport{Protocols: new(http.Protocols)}
+	transport.Protocols.SetUnencryptedHTTP2(true)
+	t.Cleanup(transport.CloseIdleConnections)
+	return &http.Client{Transport: transport, Timeout: 20 * time.Second}
+}
+
+func post(c *http.Client, url string, body io.Reader) error {
+	resp, err := c.Post(url, "text/plain", body)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err
+}
+
+// Load pattern: a client that always has a request at work on its connection.
+func TestBusyConnectionGivesBackBodies(t *testing.T) {
+	d := &Door{Name: t.Name(), Limits: Limits{Connections: 10, Bytes: 1 << 20}, Log: zerolog.Nop()}
+	atWork, done := make(chan struct{}), make(chan struct{})
+	url := serveHTTP2(t, d, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/long" {
+			close(atWork)
+			<-done
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+	})
+	client := newHTTP2Client(t)
+	long := make(chan error)
+	go func() { long <- post(client, url+"/long", nil) }()
+	<-atWork
+	for i := range 10 {
+		if err := post(client, url, strings.NewReader(strings.Repeat("x", 200_000))); err != nil {
+			t.Errorf("request %d: %v", i+1, err)
+		}
+	}
+	close(done)
+	if err := <-long; err != nil {
+		t.Errorf("the request that was at work: %v", err)
+	}
+}
+
+// Load pattern: one connection with more bodies than there is room for, beside a request that is at work.
+func TestOnlyTheRequestWithoutRoomEnds(t *testing.T) {
+	d := &Door{Name: t.Name(), Limits: Limits{Connections: 10, Bytes: 1 << 20}, Log: zerolog.Nop()}
+	atWork, done := make(chan struct{}), make(chan struct{})
+	url := serveHTTP2(t, d, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/long" {
+			close(atWork)
+			<-done
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+	})
+	client := newHTTP2Client(t)
+	long := make(chan error)
+	go func() { long <- post(client, url+"/long", nil) }()
+	<-atWork
+	if err := post(client, url, strings.NewReader(strings.Repeat("x", 1<<20))); err == nil {
+		t.Error("a body without room was answered")
+	}
+	close(done)
+	if err := <-long; err != nil {
+		t.Errorf("the request that was at work: %v", err)
+	}
+}
+
+// Load pattern: several bodies on one connection that all stop.
+func TestConnectionWhoseBodiesAllStopGivesWay(t *testing.T) {
+	d := &Door{Name: t.Name(), Limits: Limits{Connections: 1, Bytes: 1 << 20}, Log: zerolog.Nop()}
+	var reading sync.WaitGroup
+	reading.Add(2)
+	url := serveHTTP2(t, d, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/stops" {
+			_, _ = io.ReadFull(r.Body, make([]byte, 1))
+			reading.Done()
+			_, _ = io.Copy(io.Discard, r.Body)
+		}
+	})
+	crowd := newHTTP2Client(t)
+	if err := post(crowd, url, nil); err != nil { // Opens the only connection.
+		t.Fatal(err)
+	}
+	body, rest := io.Pipe()
+	defer rest.Close()
+	for range 2 {
+		go func() { _ = post(crowd, url+"/stops", io.MultiReader(strings.NewReader("x"), body)) }()
+	}
+	reading.Wait()
+	time.Sleep(2 * minStill)
+	var err error
+	for range 20 {
+		if err = post(newHTTP2Client(t), url, nil); err == nil {
+			return
+		}
+	}
+	t.Errorf("another client's request is not answered: %v", err)
+}
