deployment: agents obey what their process may have; readiness and metrics pass a door

HTTP/2 streams and windows of entries without the setting had become smaller. Change: settings process-memory (memory is the worker's) and descriptors of an agent: the runtime's memory limit, and at most those limits on admin, which has the small door of checks. HTTP/2 streams and windows are the library's again where no memory is set; frames are at most 16 KiB, as room for a whole one is taken on its first bytes.

--- a/internal/deployment/agent.go
+++ b/internal/deployment/agent.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"sniperill.example/sniperill/internal/agent"
+	"sniperill.example/sniperill/internal/frontdoor"
 	"sniperill.example/sniperill/internal/keys"
 	"sniperill.example/sniperill/internal/peer"
 	"sniperill.example/sniperill/internal/settings"
@@ -45,6 +46,8 @@
 	if err != nil {
 		return fmt.Errorf("deployment.Open: %w", err)
 	}
+	machine := frontdoor.Machine{MemoryMB: int(p.Settings.ProcessMemory >> 20), Descriptors: p.Settings.Descriptors}
+	limitMemory(machine)
 	p.pool = peer.NewQUICPool(tlsConfig)
 	p.peers = &peer.QUICServer{Config: tlsConfig}
 	address, err := p.peers.Listen(p.Settings.Peers)
@@ -66,7 +69,7 @@
 		Options:           []connect.HandlerOption{tracing},
 	}
 	p.peers.SetHandler(countCalls(p.agent.Handler()))
-	p.admin, err = listenAdmin(p.Settings.Admin, &telemetry.Admin{Ready: func() bool { return !p.leaving.Load() }})
+	p.admin, err = listenAdmin(p.Settings.Admin, &telemetry.Admin{Ready: func() bool { return !p.leaving.Load() }}, machine, p.agent.Log)
 	return trace.Wrap(err)
 }
 
--- a/internal/deployment/entry.go
+++ b/internal/deployment/entry.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"runtime/debug"
 	"time"
 
 	"connectrpc.com/connect"
@@ -92,15 +91,14 @@
 		Options: []connect.HandlerOption{tracing},
 	}
 	operators.Register(mux)
-	limits := frontdoor.Machine{MemoryMB: int(p.Settings.Memory >> 20), Descriptors: p.Settings.Descriptors}.Limits()
-	if limits.RuntimeBytes > 0 {
-		debug.SetMemoryLimit(limits.RuntimeBytes)
-	}
-	door := &frontdoor.Door{Name: "callers", Limits: limits, Log: p.Logger.With().Str("name", p.Settings.Name).Logger()}
+	log := p.Logger.With().Str("name", p.Settings.Name).Logger()
+	machine := frontdoor.Machine{MemoryMB: int(p.Settings.Memory >> 20), Descriptors: p.Settings.Descriptors}
+	limitMemory(machine)
+	door := &frontdoor.Door{Name: "callers", Limits: machine.Limits(), Log: log}
 	if p.callers, err = listenTCP(p.Settings.Callers, mux, serverTLS, door); err != nil {
 		return trace.Wrap(err)
 	}
-	p.admin, err = listenAdmin(p.Settings.Admin, &telemetry.Admin{Ready: p.entry.Ready, Metrics: entryMetrics(p.entry)})
+	p.admin, err = listenAdmin(p.Settings.Admin, &telemetry.Admin{Ready: p.entry.Ready, Metrics: entryMetrics(p.entry)}, machine, log)
 	return trace.Wrap(err)
 }
 
--- a/internal/deployment/server.go
+++ b/internal/deployment/server.go
@@ -7,9 +7,11 @@
 	"fmt"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/gravitational/trace"
+	"github.com/rs/zerolog"
 
 	"sniperill.example/sniperill/internal/frontdoor"
 	"sniperill.example/sniperill/internal/telemetry"
@@ -25,8 +27,11 @@
 	listener net.Listener
 }
 
-// HTTP/2 connections of callers. The windows are those of a few calls at a time with small bodies.
+// HTTP/2 connections of clients.
 const (
+	// maxFrame is the smallest limit that the protocol allows. Room for a frame is taken once its head has arrived.
+	maxFrame = 16 << 10
+	// The streams and windows of a process whose memory is known are those of a few calls at a time with small bodies.
 	maxStreams       = 100
 	connectionWindow = 256 << 10
 	streamWindow     = 128 << 10
@@ -45,8 +50,10 @@
 	if door != nil {
 		listener = door.Listener(listener)
 		door.Apply(s)
-		s.HTTP2 = &http.HTTP2Config{
-			MaxConcurrentStreams: maxStreams, MaxReceiveBufferPerConnection: connectionWindow, MaxReceiveBufferPerStream: streamWindow,
+		s.HTTP2 = &http.HTTP2Config{MaxReadFrameSize: maxFrame}
+		if door.Limits.RuntimeBytes > 0 {
+			s.HTTP2.MaxConcurrentStreams = maxStreams
+			s.HTTP2.MaxReceiveBufferPerConnection, s.HTTP2.MaxReceiveBufferPerStream = connectionWindow, streamWindow
 		}
 	}
 	s.Protocols.SetHTTP1(true)
@@ -90,9 +97,16 @@
 
 // listenAdmin opens the listener for the metrics and health of a process. It returns nil
 // if the address is empty.
-func listenAdmin(address string, a *telemetry.Admin) (*tcpServer, error) {
+func listenAdmin(address string, a *telemetry.Admin, m frontdoor.Machine, log zerolog.Logger) (*tcpServer, error) {
 	if address == "" {
 		return nil, nil
 	}
-	return listenTCP(address, a.Handler(), nil, nil)
+	return listenTCP(address, a.Handler(), nil, &frontdoor.Door{Name: "checks", Limits: m.CheckLimits(), Log: log})
+}
+
+// limitMemory limits the runtime's memory if the machine's is known.
+func limitMemory(m frontdoor.Machine) {
+	if n := m.Limits().RuntimeBytes; n > 0 {
+		debug.SetMemoryLimit(n)
+	}
 }
--- a/internal/frontdoor/limits.go
+++ b/internal/frontdoor/limits.go
@@ -45,3 +45,15 @@
 	}
 	return l
 }
+
+// For readiness checks and reads of metrics. Who checks has a connection for each, or opens one a second.
+const (
+	checkConnections = 64
+	checkBytes       = 4 << 20
+)
+
+// CheckLimits returns the limits of a port for readiness checks and reads of metrics.
+func (m Machine) CheckLimits() Limits {
+	l := m.Limits()
+	return Limits{Connections: min(checkConnections, l.Connections), Bytes: min(checkBytes, l.Bytes)}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -133,6 +133,10 @@
 	Accelerators int        `json:"accelerators" validate:"gte=0,lte=64"`
 	Cores        int        `json:"cores" validate:"gt=0"`
 	Memory       shop.Bytes `json:"memory" validate:"gt=0"`
+	// ProcessMemory is the memory that the agent itself may have; zero if it is not known.
+	ProcessMemory shop.Bytes `json:"process-memory,omitempty" validate:"gte=0"`
+	// Descriptors is the number of file descriptors that the agent may have; zero if it is not known.
+	Descriptors int `json:"descriptors,omitempty" validate:"gte=0"`
 }
 
 // StandIn contains the settings of a stand-in: a process that simulates the platform,
