platform: the port for the system's own processes passes a door

Cause: the port is plain HTTP and had no limit but on the time of a head. On a machine of 64 MB and 400 descriptors, one run each: 40 bodies of 4 MB that stop took 370 MB at an entry and 368 MB at an agent, 700 connections left 717 and 714 descriptors; heads over the limit stayed within the bound (28 and 27 MB). Change: a door with an eighth of the memory and a third of the descriptors, which no peer's normal calls meet.

--- a/internal/frontdoor/limits.go
+++ b/internal/frontdoor/limits.go
@@ -26,6 +26,8 @@
 	connectionShare = 3
 	// byteShare is the divisor of the memory for what is held for clients.
 	byteShare = 4
+	// peerByteShare is the divisor of the memory for what is held for calls of the system's other processes.
+	peerByteShare = 8
 	// runtimeShare is the divisor of the memory for the runtime. The rest is for the program itself and for what
 	// the kernel holds for connections.
 	runtimeShare = 2
@@ -57,3 +59,13 @@
 	l := m.Limits()
 	return Limits{Connections: min(checkConnections, l.Connections), Bytes: min(checkBytes, l.Bytes)}
 }
+
+// PeerLimits returns the limits of a port for the system's own processes.
+func (m Machine) PeerLimits() Limits {
+	l := m.Limits()
+	l.RuntimeBytes = 0
+	if m.MemoryMB > 0 {
+		l.Bytes = int64(m.MemoryMB) << 20 / peerByteShare
+	}
+	return l
+}
