frontdoor: the log tells who holds most, by address and by the team of a key

Cause: the log line named the address of most closed connections only, not who still holds what there is. Change: the line, at most one a second and only under pressure, adds the address and the key whose open connections hold most; the key is told by its team. No metric, as its label would have no bound. Result: TestReportNamesWhoHoldsMost passes, twice with the race detector, with the package's other tests.

--- a/internal/caller/auth.go
+++ b/internal/caller/auth.go
@@ -63,6 +63,15 @@
 	return p, nil
 }
 
+// Team returns the team of a token's holder, or "" if the token isn't valid or has none.
+func (a *Authenticator) Team(token string) string {
+	p, err := keys.Verify(token, a.Key, a.Now())
+	if err != nil {
+		return ""
+	}
+	return p.Team
+}
+
 // PrincipalOf returns the principal of an authenticated request.
 func PrincipalOf(ctx context.Context) keys.Principal {
 	p, _ := ctx.Value(principalKey{}).(keys.Principal)
--- a/internal/deployment/entry.go
+++ b/internal/deployment/entry.go
@@ -94,7 +94,7 @@
 	log := p.Logger.With().Str("name", p.Settings.Name).Logger()
 	machine := frontdoor.Machine{MemoryMB: int(p.Settings.Memory >> 20), Descriptors: p.Settings.Descriptors}
 	limitMemory(machine)
-	door := &frontdoor.Door{Name: "callers", Limits: machine.Limits(), Log: log}
+	door := &frontdoor.Door{Name: "callers", Limits: machine.Limits(), Team: callers.Auth.Team, Log: log}
 	if p.callers, err = listenTCP(p.Settings.Callers, mux, serverTLS, door); err != nil {
 		return trace.Wrap(err)
 	}
--- a/internal/frontdoor/door.go
+++ b/internal/frontdoor/door.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -55,10 +56,13 @@
 	// Headers are the fields of a request that the handlers read; others are dropped from large heads. If it is
 	// empty, all fields are kept.
 	Headers []string
-	Log     zerolog.Logger
+	// Team returns the name of the team that a key belongs to, or "" if there is none. It may be nil.
+	Team func(key string) string
+	Log  zerolog.Logger
 
 	mu     sync.Mutex
 	open   int
+	conns  map[*conn]struct{}
 	bytes  int64
 	still  [2]list.List // Connections that wait for their client, by since: idle ones, those with a request under way.
 	report report
@@ -87,6 +91,7 @@
 	net.Conn
 	door *Door
 
+	host   string
 	sealed bool // It has TLS. Set before the first read.
 
 	// Guarded by door.mu.
@@ -99,6 +104,7 @@
 	element   *list.Element // In a list of door.still; nil while it is working.
 	list      *list.List
 	gone      bool
+	key       string // Of its last request; empty if that had none.
 }
 
 // Listener returns a listener whose connections pass the door.
@@ -125,7 +131,7 @@
 
 // admit takes a connection in if there is room.
 func (d *Door) admit(inner net.Conn) (*conn, bool) {
-	c := &conn{Conn: inner, door: d, since: time.Now()}
+	c := &conn{Conn: inner, door: d, host: hostOf(inner), since: time.Now()}
 	d.mu.Lock()
 	var closed []*conn
 	for d.open >= d.Limits.Connections {
@@ -144,6 +150,10 @@
 	}
 	if ok {
 		d.open++
+		if d.conns == nil {
+			d.conns = make(map[*conn]struct{})
+		}
+		d.conns[c] = struct{}{}
 		c.enter(waiting)
 	} else {
 		c.gone = true
@@ -236,6 +246,7 @@
 	c.gone = true
 	c.leaveList()
 	d.open--
+	delete(d.conns, c)
 	d.bytes -= c.held
 	c.held = 0
 }
@@ -420,6 +431,10 @@
 		}
 		c.handlers++
 		c.settle()
+		c.key = ""
+		if key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer "); ok && len(key) <= maxKey {
+			c.key = strings.Clone(key) // Not the whole head.
+		}
 		d.mu.Unlock()
 		if dropFields {
 			kept := make(http.Header, len(d.Headers))
--- a/internal/frontdoor/door_test.go
+++ b/internal/frontdoor/door_test.go
@@ -1,6 +1,8 @@
 package frontdoor
 
 import (
+	"bytes"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -274,3 +276,47 @@
 	}
 	t.Errorf("another client's request is not answered: %v", err)
 }
+
+// hostPipe is a pipe whose client has an address.
+type hostPipe struct {
+	*pipe
+	host string
+}
+
+func (p hostPipe) RemoteAddr() net.Addr { return &net.TCPAddr{IP: net.ParseIP(p.host), Port: 1} }
+
+// Load pattern: most of what is held is one client's, and some is another's who has more connections.
+func TestReportNamesWhoHoldsMost(t *testing.T) {
+	var out bytes.Buffer
+	d := &Door{Name: t.Name(), Limits: Limits{Connections: 4, Bytes: 1 << 20}, Log: zerolog.New(&out), Team: func(key string) string {
+		return map[string]string{"key-red": "red", "key-blue": "blue"}[key]
+	}}
+	for _, c := range []struct {
+		host, key string
+		bytes     int64
+	}{{"10.0.0.1", "key-red", 0}, {"10.0.0.1", "key-red", 0}, {"10.0.0.2", "key-blue", 500_000}, {"10.0.0.3", "", 0}} {
+		admitted, _ := d.admit(hostPipe{newPipe(), c.host})
+		admitted.key = c.key
+		if err := admitted.charge(c.bytes); err != nil {
+			t.Fatal(err)
+		}
+	}
+	d.admit(hostPipe{newPipe(), "10.0.0.4"}) // There is no room.
+	var line struct {
+		Address string `json:"address-holding-most"`
+		Conns   int    `json:"its-connections"`
+		Bytes   int64  `json:"its-bytes"`
+		Key     string `json:"key-holding-most"`
+	}
+	if err := json.Unmarshal(out.Bytes(), &line); err != nil {
+		t.Fatalf("log %q: %v", out.String(), err)
+	}
+	want := line
+	want.Address, want.Conns, want.Bytes, want.Key = "10.0.0.2", 1, 500_000+connectionCost, "blue"
+	if diff := cmp.Diff(want, line); diff != "" {
+		t.Errorf("log line (-want +got):\n%s", diff)
+	}
+	if strings.Contains(out.String(), "key-blue") {
+		t.Errorf("the log holds a key: %s", out.String())
+	}
+}
--- a/internal/frontdoor/report.go
+++ b/internal/frontdoor/report.go
@@ -12,8 +12,59 @@
 	reportInterval = time.Second
 	// maxReportedHosts bounds the hosts whose connections are counted for a log line.
 	maxReportedHosts = 64
+	// maxKey bounds a key that a connection is counted for, in bytes.
+	maxKey = 1024
 )
 
+// holder is an address or a key and what its open connections hold.
+type holder struct {
+	name        string
+	connections int
+	bytes       int64
+}
+
+// most returns who holds most of all open connections, by the name that of gives them. Those without a name don't
+// count. The caller holds d.mu.
+func (d *Door) most(of func(*conn) string) holder {
+	var most holder
+	all := make(map[string]holder)
+	for c := range d.conns {
+		name := of(c)
+		if name == "" {
+			continue
+		}
+		h := all[name]
+		h = holder{name, h.connections + 1, h.bytes + c.held}
+		all[name] = h
+		if h.bytes > most.bytes {
+			most = h
+		}
+	}
+	return most
+}
+
+// team returns the name of the team that a key belongs to.
+func (d *Door) team(key string) string {
+	name := ""
+	if d.Team != nil && key != "" {
+		name = d.Team(key)
+	}
+	if name == "" {
+		return "unknown"
+	}
+	return name
+}
+
+// hostOf returns the host of a connection's client.
+func hostOf(c net.Conn) string {
+	address := c.RemoteAddr().String()
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return address
+	}
+	return host
+}
+
 // report is what is told in the next log line.
 type report struct {
 	last    time.Time
@@ -31,10 +82,7 @@
 	}
 	r.closed++
 	r.reasons[reason]++
-	host, _, err := net.SplitHostPort(c.RemoteAddr().String())
-	if err != nil {
-		host = c.RemoteAddr().String()
-	}
+	host := hostOf(c)
 	if _, ok := r.hosts[host]; ok || len(r.hosts) < maxReportedHosts {
 		r.hosts[host]++
 	}
@@ -48,8 +96,11 @@
 			most = h
 		}
 	}
+	address, key := d.most(func(c *conn) string { return c.host }), d.most(func(c *conn) string { return c.key })
 	d.Log.Warn().Str("door", d.Name).Int("closed", r.closed).Interface("reasons", r.reasons).
 		Int("hosts", len(r.hosts)).Str("most-from", most).Int("from-it", r.hosts[most]).
+		Str("address-holding-most", address.name).Int("its-connections", address.connections).Int64("its-bytes", address.bytes).
+		Str("key-holding-most", d.team(key.name)).Int("key-connections", key.connections).Int64("key-bytes", key.bytes).
 		Int("open", d.open).Int64("bytes", d.bytes).Int64("budget", d.Limits.Bytes).
 		Msg("Closed connections of clients, as there was no room.")
 	d.report = report{last: now}
