--- a/internal/standin/executor.go
+++ b/internal/standin/executor.go
@@ -28,6 +28,8 @@
 	OwnWork func(task string, runTime time.Duration) time.Duration
 	// OnRunStarted is called for each run that starts.
 	OnRunStarted func(task string, run int)
+	// OnStart, if set, is called within each call that starts a run.
+	OnStart func(context.Context, host.Start)
 	// OnRunEnded is called for each run that ends, with the time for which it actually ran.
 	OnRunEnded func(ExecutorSpan)
 	// MaxLease is the longest lease that it takes; a longer one is shortened. Zero means no limit.
@@ -41,6 +43,10 @@
 	// StopTime, if set, returns how long it takes to end a run that was stopped or whose lease has lapsed. The
 	// run goes on until then.
 	StopTime func() time.Duration
+	// ColdFactor is how many times longer work takes while the executor is cold; zero means 1.
+	ColdFactor float64
+	// Gangs, if set, are the gangs whose members it runs. Without them, it runs each member by itself.
+	Gangs *Gangs
 	// ClockSlowdown is the factor by which the executor's clock is slower than real time; zero means 1.
 	ClockSlowdown float64
 
@@ -48,6 +54,7 @@
 	started     clock.Instant
 	epoch       int64
 	leaseEnd    time.Duration // On the executor's clock.
+	coldUntil   clock.Instant
 	running     map[runName]*run
 	highestRun  map[string]int  // The highest run that ended or was stopped, by task.
 	ended       []host.Ended    // Not acknowledged yet.
@@ -81,18 +88,62 @@
 type run struct {
 	resources workflow.Resources
 	started   clock.Instant
-	duration  time.Duration
+	work      workload
+	gang      *gangMember   // Nil for a run that works by itself.
 	hungSince clock.Instant // Zero if the run isn't hanging.
 	stopEnd   clock.Instant // When it will have been stopped; zero if it isn't being stopped.
 	stopAs    host.End      // How it ends then.
 }
 
-// worked returns the time for which the run has made progress.
+// worked returns how much of its work the run has done.
 func (r *run) worked() time.Duration {
-	if r.hungSince != 0 {
-		return r.hungSince.Sub(r.started)
+	switch {
+	case r.hungSince != 0:
+		return r.work.done(r.started, r.hungSince)
+	case r.gang != nil:
+		return r.gang.worked()
+	}
+	return r.work.done(r.started, clock.Now())
+}
+
+// finished returns how the run ends by itself, and when. A time to come may still change.
+func (r *run) finished(now clock.Instant) (host.End, clock.Instant) {
+	switch {
+	case r.hungSince != 0:
+		return host.Done, now + 1
+	case r.gang != nil:
+		return r.gang.finished(now)
+	}
+	return host.Done, r.work.end(r.started)
+}
+
+// workload is the work of a run on an executor.
+type workload struct {
+	warm       time.Duration // What it takes on the executor once that is warm.
+	coldUntil  clock.Instant
+	coldFactor float64
+}
+
+// end returns when the work that began at an instant is done.
+func (w workload) end(began clock.Instant) clock.Instant {
+	cold := w.coldUntil.Sub(began)
+	switch {
+	case cold <= 0:
+		return began.Add(w.warm)
+	case float64(w.warm)*w.coldFactor <= float64(cold):
+		return began.Add(time.Duration(float64(w.warm) * w.coldFactor))
+	}
+	return began.Add(cold + w.warm - time.Duration(float64(cold)/w.coldFactor))
+}
+
+// done returns how much of the work is done at an instant, given when it began.
+func (w workload) done(began, now clock.Instant) time.Duration {
+	took := now.Sub(began)
+	cold := min(took, max(0, w.coldUntil.Sub(began)))
+	if cold <= 0 {
+		return took
 	}
-	return clock.Since(r.started)
+	return took - cold + time.Duration(float64(cold)/w.coldFactor)
 }
 
 // Worker returns the calls to the executor.
@@ -105,11 +156,18 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return host.Heartbeat{
-		Lifetime: e.Lifetime, Sequence: sequence,
+		Lifetime: e.Lifetime, Sequence: sequence, ColdRemaining: max(0, e.coldUntil.Sub(clock.Now())),
 		Worker: workflow.Worker{Service: service, Rack: rack, Labels: []string{rack}, Resources: e.Resources},
 	}
 }
 
+// TurnCold makes the executor slow for a while, for the runs that start from now on.
+func (e *Executor) TurnCold(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.coldUntil = clock.Now().Add(d)
+}
+
 // Crash ends the executor's lifetime. From then on no call reaches it.
 func (e *Executor) Crash() {
 	e.mu.Lock()
@@ -219,17 +277,14 @@
 func (e *Executor) advance() {
 	e.clock() // Sets started on the first call.
 	now := clock.Now()
-	lapse := e.started.Add(time.Duration(float64(e.leaseEnd) * max(1, e.ClockSlowdown)))
+	lapse := e.lapse()
 	defer func() {
 		if lapse < now {
 			e.lapsedEnd = e.lastEnd
 		}
 	}()
 	for name, r := range e.running {
-		done := r.started.Add(r.duration)
-		if r.hungSince != 0 {
-			done = now + 1
-		}
+		as, done := r.finished(now)
 		if lapse < now && lapse < done {
 			e.stopRun(r, lapse, host.Lapsed)
 		}
@@ -238,10 +293,10 @@
 		case stopped && r.stopEnd <= now:
 			e.end(name, r, r.stopAs, r.stopEnd)
 		case stopped || done > now:
-		case e.failing:
+		case e.failing && as == host.Done:
 			e.end(name, r, host.Failed, done)
 		default:
-			e.end(name, r, host.Done, done)
+			e.end(name, r, as, done)
 		}
 	}
 }
@@ -255,6 +310,7 @@
 	if e.StopTime != nil {
 		r.stopEnd = at.Add(e.StopTime())
 	}
+	r.gang.leave(r.stopEnd)
 }
 
 // end ends a run and lists it until it is acknowledged. The caller holds the lock.
@@ -267,6 +323,7 @@
 }
 
 func (e *Executor) report(name runName, r *run, number uint64, end host.End, at clock.Instant) {
+	r.gang.leave(at)
 	if e.OnRunEnded != nil {
 		e.OnRunEnded(ExecutorSpan{e.Lifetime, name.task, name.number, number, r.started, at, end})
 	}
@@ -335,6 +392,14 @@
 		end = min(end, e.clock()+e.MaxLease)
 	}
 	e.leaseEnd = max(e.leaseEnd, end)
+	for _, r := range e.running {
+		r.gang.extendLease(e.lapse())
+	}
+}
+
+// lapse returns when the lease ends. The caller holds the lock.
+func (e *Executor) lapse() clock.Instant {
+	return e.started.Add(time.Duration(float64(e.leaseEnd) * max(1, e.ClockSlowdown)))
 }
 
 // acknowledge records that ended runs up to a number have been acknowledged. The caller holds the
@@ -367,7 +432,7 @@
 		state.Ended, state.MoreEnded = state.Ended[:e.MaxEnded], !e.CutsSilently
 	}
 	for name, r := range e.running {
-		work := r.duration
+		work := r.work.warm
 		if e.OwnWork != nil {
 			work = e.OwnWork(name.task, work)
 		}
@@ -405,7 +470,12 @@
 		return fmt.Errorf("standin.Executor: %w: no room", host.ErrRefused)
 	}
 	e.extendLease(s.LeaseEnd)
-	e.running[name] = &run{resources: resources, started: clock.Now(), duration: duration}
+	r := &run{resources: resources, started: clock.Now(), work: workload{duration, e.coldUntil, max(1, e.ColdFactor)}}
+	r.gang = e.Gangs.join(name, r, e.lapse())
+	e.running[name] = r
+	if e.OnStart != nil {
+		e.OnStart(ctx, s)
+	}
 	if e.OnRunStarted != nil {
 		e.OnRunStarted(s.Task, s.Run)
 	}
--- a/internal/standin/runchecker.go
+++ b/internal/standin/runchecker.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sync"
 
+	"sniperill.example/sniperill/internal/clock"
 	"sniperill.example/sniperill/internal/clusterstate"
 	"sniperill.example/sniperill/internal/host"
 )
@@ -93,6 +94,36 @@
 	return slices.ContainsFunc(c.allSpans()[task], func(s ExecutorSpan) bool { return s.End == host.Done })
 }
 
+// RanTogether reports whether one run of all the tasks, the members of a gang, went on at the same time and ended as
+// done.
+func (c *RunChecker) RanTogether(tasks []string) bool {
+	type common struct {
+		from, to clock.Instant
+		members  int
+		done     bool
+	}
+	runs := make(map[int]common)
+	all := c.allSpans()
+	for i, task := range tasks {
+		for _, s := range all[task] {
+			r := runs[s.Run]
+			if i == 0 {
+				r.to = s.To
+			}
+			if r.members == i { // A run that began again in another lifetime of its worker counts once.
+				r.members++
+			}
+			runs[s.Run] = common{max(r.from, s.From), min(r.to, s.To), r.members, r.done || s.End == host.Done}
+		}
+	}
+	for _, r := range runs {
+		if r.members == len(tasks) && r.from < r.to && r.done {
+			return true
+		}
+	}
+	return false
+}
+
 // Violations returns an error for each task that ran twice at the same time, that was started again
 // after a run that ended as done had been acknowledged, or that belongs to a job's second step and
 // started before the first step was done.
