--- a/internal/dispatch/submit_test.go
+++ b/internal/dispatch/submit_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"slices"
@@ -8,9 +9,13 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
+
 	"sniperill.example/sniperill/internal/intake"
 	"sniperill.example/sniperill/internal/standin"
 	"sniperill.example/sniperill/pkg/shop"
+	pb "sniperill.example/sniperill/proto/sniperill/v1"
+	"sniperill.example/sniperill/proto/sniperill/v1/sniperillv1connect"
 )
 
 // The platform's store may reject the calls of some machines and serve the others. An entry
@@ -297,6 +302,117 @@
 	}
 }
 
+// A machine is gone for good. While the store is away, the others refuse jobs at once: their callers may try again.
+func TestJobsAreRefusedThoughAnEntryIsGone(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		gone func(*cluster)
+	}{
+		{"it never said that it leaves", func(c *cluster) { c.entries[0].kill() }},
+		{"it left, and its machine is off", func(c *cluster) {
+			c.leaveEntry(c.entries[0])
+			c.cutOff.Store(c.entries[0].name, true)
+		}},
+		{"it left, and the others were restarted since", func(c *cluster) {
+			c.leaveEntry(c.entries[0])
+			c.restartEntry(c.entries[1])
+			c.restartEntry(c.entries[2])
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			withVirtualTime(t, func(t *testing.T) {
+				c := newCluster(t, 3, 2)
+				time.Sleep(3 * time.Second)
+				tt.gone(c)
+				time.Sleep(10 * time.Second)
+				c.store.SetFault(standin.StoreSilent)
+				for i := range 8 {
+					time.Sleep(500 * time.Millisecond)
+					e, start := c.entries[1+i%2], time.Now()
+					if err := c.submitAt(e, fmt.Sprint("job", i), "red", "batch", task(1, 1)); !errors.Is(err, intake.ErrUnavailable) {
+						t.Errorf("submit %d at %s: %v, want %v", i, e.name, err, intake.ErrUnavailable)
+					}
+					if took := time.Since(start); took > 600*time.Millisecond {
+						t.Errorf("refusal %d took %v", i, took)
+					}
+				}
+			})
+		})
+	}
+}
+
+// slowPeer is an entry that has little processor time.
+type slowPeer struct {
+	sniperillv1connect.DeskServiceClient
+}
+
+func (c slowPeer) Ready(ctx context.Context, r *connect.Request[pb.DeskReadyRequest]) (*connect.Response[pb.DeskReadyResponse], error) {
+	time.Sleep(120 * time.Millisecond)
+	return c.DeskServiceClient.Ready(ctx, r)
+}
+
+// An entry that was cut off, with an open write, is back while another one asks the rest for the job.
+func TestJobOfEntryThatComesBackIsNotRefused(t *testing.T) {
+	for off := time.Duration(0); off < 2200*time.Millisecond; off += 50 * time.Millisecond {
+		t.Run(fmt.Sprint(off), func(t *testing.T) {
+			withVirtualTime(t, func(t *testing.T) {
+				c := newCluster(t, 3, 2)
+				time.Sleep(3 * time.Second)
+				back, asked, slow := c.entries[0], c.entries[1], c.entries[2]
+				peers := asked.intake.Peers
+				asked.intake.Peers = func() []intake.Peer {
+					out := peers()
+					for i := range out {
+						if out[i].Name == slow.name {
+							out[i].Client = slowPeer{out[i].Client}
+						}
+					}
+					return out
+				}
+				c.cutOff.Store(back.name, true)
+				time.Sleep(2*time.Second + off)
+				c.store.SetFault(standin.StoreAppendsSilent)
+				go func() { _ = c.submitAt(back, "open", "red", "batch", task(1, 1)) }()
+				time.Sleep(200 * time.Millisecond)
+				c.store.SetFault(standin.StoreBusy)
+				time.Sleep(100 * time.Millisecond)
+				c.cutOff.Delete(back.name)
+				err := asked.intake.Refuse(c.ctx, "open")
+				c.store.SetFault(standin.StoreHealthy)
+				time.Sleep(8 * time.Second)
+				if errors.Is(err, intake.ErrUnavailable) && c.state("open") != "" {
+					t.Errorf("refused, but it is %q: %v", c.state("open"), err)
+				}
+			})
+		})
+	}
+}
+
+// An entry with an open write and its only peer are killed one after the other, and start again. The peer has never
+// heard of the first one's earlier incarnation.
+func TestJobIsNotRefusedAfterBothEntriesRestarted(t *testing.T) {
+	for wait := 100 * time.Millisecond; wait <= 1500*time.Millisecond; wait += 200 * time.Millisecond {
+		t.Run(fmt.Sprint(wait), func(t *testing.T) {
+			withVirtualTime(t, func(t *testing.T) {
+				c := newCluster(t, 2, 2)
+				time.Sleep(3 * time.Second)
+				c.store.SetFault(standin.StoreAppendsSilent)
+				go func() { _ = c.submitAt(c.entries[0], "open", "red", "batch", task(1, 1)) }()
+				time.Sleep(100 * time.Millisecond)
+				c.entries[0].kill()
+				c.restartEntry(c.entries[1])
+				time.Sleep(300 * time.Millisecond)
+				c.restartEntry(c.entries[0])
+				time.Sleep(wait)
+				c.store.SetFault(standin.StoreBusy)
+				if err := c.entries[1].intake.Refuse(c.ctx, "open"); errors.Is(err, intake.ErrUnavailable) {
+					t.Error(err)
+				}
+			})
+		})
+	}
+}
+
 // An entry that has just started knows neither jobs nor peers until it has read the journal,
 // and must not refuse a job until then.
 func TestEntryBehindJournalRefusesNothing(t *testing.T) {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -405,7 +405,11 @@
 
 // poll polls the worker and applies the state that it returns.
 func (a *Agent) poll(ctx context.Context, req PollRequest) (WorkerState, error) {
-	ctx, cancel := context.WithTimeout(ctx, req.Wait+pollTimeoutMargin)
+	timeout := pollTimeoutMargin
+	if req.Wait > 0 {
+		timeout += pollWait // Also for a shorter wait: a worker that doesn't answer in time gets no extension.
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	sent := clock.Now()
 	state, err := a.Worker.Poll(ctx, req)
--- a/internal/intake/incarnation.go
+++ b/internal/intake/incarnation.go
@@ -15,9 +15,9 @@
 	replacedAt clock.Instant     // When an entry that had not left was last seen to have another one; zero if never.
 }
 
-// note records an incarnation of an entry, both of which are empty for an entry of an earlier version. It reports
-// whether it has not heard of the incarnation before.
-func (i *incarnations) note(name, incarnation string) (isNew bool) {
+// note records an incarnation of an entry, both of which are empty for an entry of an earlier version, given whether the
+// entry has been silent. It reports whether it has not heard of the incarnation before.
+func (i *incarnations) note(name, incarnation string, silent bool) (isNew bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if incarnation == "" {
@@ -27,10 +27,11 @@
 	if i.newest == nil {
 		i.newest = make(map[string]string)
 	}
-	if before, ok := i.newest[name]; ok && before != incarnation && before != i.left[name] {
-		i.replacedAt = clock.Now()
+	before, known := i.newest[name]
+	if known && before != incarnation && before != i.left[name] || !known && silent {
+		i.replacedAt = clock.Now() // It may have been silent as another one, which this entry had not heard of.
 	}
-	isNew = i.newest[name] != incarnation
+	isNew = before != incarnation
 	i.newest[name] = incarnation
 	return isNew
 }
--- a/internal/intake/peers.go
+++ b/internal/intake/peers.go
@@ -148,6 +148,8 @@
 	// set if this may hold for a peer that stopped answering recently without leaving or is not known yet, or for an earlier
 	// incarnation of an entry.
 	pending, silent bool
+	// alone is set if no peer answers and none has left. This entry may be cut off itself then.
+	alone bool
 	// accepted is set if a peer or this entry knows that the job is in the journal.
 	accepted bool
 }
@@ -162,7 +164,7 @@
 		return nil
 	case s.pending:
 		return fmt.Errorf("%w: by a peer: %v", errMayBeWritten, err) // %v, so that it doesn't count as a refusal.
-	case s.silent:
+	case s.silent, s.alone:
 		return fmt.Errorf("%w: by a silent, unknown or replaced entry: %v", errMayBeWritten, err)
 	default:
 		return err
@@ -193,13 +195,18 @@
 	wg.Wait()
 	// An entry doesn't know its peers until it has read the journal to its end.
 	survey := peerSurvey{silent: s.Follower.CaughtUpAt() == 0 || s.incarnations.replacedRecently()}
-	// Without a reader of the journal, a peer that has been silent for long may be accepting jobs, out of touch with these
-	// entries only.
-	upToDate := s.StateCurrent() || slices.ContainsFunc(answers, (*pb.DeskReadyResponse).GetReady)
+	// What a peer is silent for is its own doing only if the silence began well before the newest read of the journal.
+	lastRead := s.Follower.CaughtUpAt()
+	if slices.ContainsFunc(answers, (*pb.DeskReadyResponse).GetReady) {
+		lastRead = clock.Now()
+	}
+	survey.alone = len(peers) > 0
 	for i, a := range answers {
+		survey.alone = survey.alone && a == nil && !gone[i]
 		if a == nil {
-			since, silent := s.silentSince.Load(peers[i].Name)
-			survey.silent = survey.silent || silent && !gone[i] && (!upToDate || clock.Since(since.(clock.Instant)) < silentPeerTimeout)
+			since, silent := s.silence(peers[i].Name)
+			// One that is no longer silent has come back since it was passed over, and has not been asked.
+			survey.silent = survey.silent || !gone[i] && (!silent || lastRead.Sub(since) < silentPeerTimeout)
 			continue
 		}
 		survey.pending = survey.pending || a.GetOpen()
@@ -214,6 +221,19 @@
 	return survey
 }
 
+// silence returns since when a peer has neither answered nor called, and false if it has answered the newest probe.
+func (s *Service) silence(peer string) (since clock.Instant, silent bool) {
+	v, silent := s.silentSince.Load(peer)
+	if !silent {
+		return 0, false
+	}
+	since = v.(clock.Instant)
+	if called, ok := s.calledAt.Load(peer); ok {
+		since = max(since, called.(clock.Instant))
+	}
+	return since, true
+}
+
 // Run probes all peers regularly, so that the service knows which are silent and for how long. It
 // ends with ctx.
 func (s *Service) Run(ctx context.Context) error {
@@ -241,7 +261,8 @@
 		}
 		return nil, err
 	}
-	s.incarnations.note(peer.Name, resp.Msg.GetLife()) // Before it stops counting as silent.
+	_, silent := s.silentSince.Load(peer.Name)
+	s.incarnations.note(peer.Name, resp.Msg.GetLife(), silent) // Before it stops counting as silent.
 	if since, ok := s.silentSince.LoadAndDelete(peer.Name); ok {
 		s.Log.Info().Str("peer", peer.Name).Dur("silent", clock.Since(since.(clock.Instant))).Msg("A peer is back.")
 	}
@@ -297,8 +318,12 @@
 // names one.
 func (h Handler) Ready(_ context.Context, r *connect.Request[pb.DeskReadyRequest]) (*connect.Response[pb.DeskReadyResponse], error) {
 	s := h.Service
-	if s.incarnations.note(r.Msg.GetEntry(), r.Msg.GetLife()) {
-		s.silentSince.Delete(r.Msg.GetEntry()) // It was the one before that has been silent.
+	if name := r.Msg.GetEntry(); name != "" {
+		s.calledAt.Store(name, clock.Now())
+		_, silent := s.silentSince.Load(name)
+		if s.incarnations.note(name, r.Msg.GetLife(), silent) {
+			s.silentSince.Delete(name) // It was the one before that has been silent.
+		}
 	}
 	out := &pb.DeskReadyResponse{Ready: s.storeReachable() && !s.stopping(), Life: s.Incarnation}
 	if id := r.Msg.GetJob(); id != "" {
--- a/internal/intake/service.go
+++ b/internal/intake/service.go
@@ -59,6 +59,7 @@
 	Log      zerolog.Logger
 
 	silentSince  sync.Map // The clock.Instant since which a peer has not answered, by its name.
+	calledAt     sync.Map // The clock.Instant at which a peer last asked for this entry's state, by its name.
 	incarnations incarnations
 	introduction sync.Once
 	pending      pendingJobs
