--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -60,6 +60,7 @@
 	// operators, if set, has the operators' records, which entries follow. Then workers are in two zones by turns.
 	operators *standin.Store
 	cutOff    sync.Map // Names of entries that other entries can't reach, nor they them.
+	slow      sync.Map // Names of entries that have little processor time, and answer others late.
 }
 
 // pause is a time in which a process doesn't run, as far as others can tell: its calls and answers go out, and
@@ -800,6 +801,8 @@
 	entry *entry
 	// cutOff reports whether the caller or the entry is cut off from all other entries.
 	cutOff func() bool
+	// slow reports whether the entry answers late.
+	slow func() bool
 }
 
 // Ready calls the entry. It blocks until ctx ends if the entry was killed or can't be reached.
@@ -810,9 +813,10 @@
 	case c.cutOff(), isClosed(c.entry.killed):
 		<-ctx.Done()
 		return nil, ctx.Err()
-	default:
-		return c.Handler.Ready(ctx, r)
+	case c.slow():
+		time.Sleep(120 * time.Millisecond)
 	}
+	return c.Handler.Ready(ctx, r)
 }
 
 // peersOf returns the peers of an entry: the other entries that are in its cluster state.
@@ -831,6 +835,9 @@
 					_, caller := c.cutOff.Load(e.name)
 					_, called := c.cutOff.Load(o.name)
 					return caller || called
+				}, func() bool {
+					_, slow := c.slow.Load(o.name)
+					return slow
 				}}})
 			}
 		}
--- a/internal/dispatch/submit_test.go
+++ b/internal/dispatch/submit_test.go
@@ -1,7 +1,6 @@
 package dispatch_test
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"slices"
@@ -9,13 +8,9 @@
 	"testing"
 	"time"
 
-	"connectrpc.com/connect"
-
 	"sniperill.example/sniperill/internal/intake"
 	"sniperill.example/sniperill/internal/standin"
 	"sniperill.example/sniperill/pkg/shop"
-	pb "sniperill.example/sniperill/proto/sniperill/v1"
-	"sniperill.example/sniperill/proto/sniperill/v1/sniperillv1connect"
 )
 
 // The platform's store may reject the calls of some machines and serve the others. An entry
@@ -341,16 +336,6 @@
 	}
 }
 
-// slowPeer is an entry that has little processor time.
-type slowPeer struct {
-	sniperillv1connect.DeskServiceClient
-}
-
-func (c slowPeer) Ready(ctx context.Context, r *connect.Request[pb.DeskReadyRequest]) (*connect.Response[pb.DeskReadyResponse], error) {
-	time.Sleep(120 * time.Millisecond)
-	return c.DeskServiceClient.Ready(ctx, r)
-}
-
 // An entry that was cut off, with an open write, is back while another one asks the rest for the job.
 func TestJobOfEntryThatComesBackIsNotRefused(t *testing.T) {
 	for off := time.Duration(0); off < 2200*time.Millisecond; off += 50 * time.Millisecond {
@@ -358,17 +343,8 @@
 			withVirtualTime(t, func(t *testing.T) {
 				c := newCluster(t, 3, 2)
 				time.Sleep(3 * time.Second)
-				back, asked, slow := c.entries[0], c.entries[1], c.entries[2]
-				peers := asked.intake.Peers
-				asked.intake.Peers = func() []intake.Peer {
-					out := peers()
-					for i := range out {
-						if out[i].Name == slow.name {
-							out[i].Client = slowPeer{out[i].Client}
-						}
-					}
-					return out
-				}
+				back, asked := c.entries[0], c.entries[1]
+				c.slow.Store(c.entries[2].name, true)
 				c.cutOff.Store(back.name, true)
 				time.Sleep(2*time.Second + off)
 				c.store.SetFault(standin.StoreAppendsSilent)
