--- a/internal/intake/leave.go
+++ b/internal/intake/leave.go
@@ -19,7 +19,7 @@
 
 // Leave tells the peers that this process writes nothing any more, and which jobs it may have written that they may
 // not know of. Call it once the writer has stopped; calls that are still in progress count as undecided then. A peer
-// that doesn't hear of it refuses nothing for silentPeerTimeout while the store is away.
+// that doesn't hear of it takes this entry for one that fell silent.
 func (s *Service) Leave(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
