pace, dispatch: one formula of a trusted pace; withdrawals use the walk over members

Cause: read anew. How far a pace is trusted stood in pace.go twice, and withdrawUnit walked the members of a unit by itself beside forEachLiveMember. Change: Paces.trusted; withdrawUnit calls forEachLiveMember. No behaviour changes: without a spread the formula gives exactly 0, and so a pace of 1, as before.

--- a/internal/dispatch/evacuation.go
+++ b/internal/dispatch/evacuation.go
@@ -91,11 +91,11 @@
 // withdrawUnit ends the members of a unit that have not been sent, and stops the others.
 func (ap *activePlanner) withdrawUnit(m *member, e workflow.Evacuations) {
 	var unsent []*member
-	for _, at := range m.job.progress.Units[m.key].Members {
-		if other := ap.member(m.job, m.key, at.Index); other != nil && other.neverSent() {
+	ap.forEachLiveMember(m.job, m.key, func(other *member) {
+		if other.neverSent() {
 			unsent = append(unsent, other)
 		}
-	}
+	})
 	ap.requestUnitStop(m.job, m.key)
 	withdrawnStarts.Add(len(unsent))
 	ap.Log.Info().Str("task", m.task).Int("run", m.run).Str("node", m.worker.name).Strs("zones", e.Zones()).
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -188,10 +188,15 @@
 		if k.Readings == 0 || p.spread == 0 {
 			return 0, 1
 		}
-		return k.LogPace * p.spread / (p.spread + noise*noise/float64(k.Readings)), 1 + min(k.Readings, maxKnownWeight)
+		return p.trusted(k), 1 + min(k.Readings, maxKnownWeight)
 	}
 }
 
+// trusted returns the logarithm of a machine's pace as far as its readings, of which there are some, can be trusted.
+func (p Paces) trusted(k Known) float64 {
+	return k.LogPace * p.spread / (p.spread + noise*noise/float64(k.Readings))
+}
+
 // work is how long the tasks of a group take on a machine of median speed, as each of its readings tells.
 type work []workReading
 
@@ -281,10 +286,7 @@
 	if !ok || k.Readings == 0 {
 		return 0
 	}
-	if p.spread == 0 {
-		return 1
-	}
-	return math.Exp(k.LogPace * p.spread / (p.spread + noise*noise/float64(k.Readings)))
+	return math.Exp(p.trusted(k))
 }
 
 // Known returns what is known of each machine.
