--- a/internal/deployment/agent.go
+++ b/internal/deployment/agent.go
@@ -47,7 +47,7 @@
 		return fmt.Errorf("deployment.Open: %w", err)
 	}
 	machine := frontdoor.Machine{MemoryMB: int(p.Settings.ProcessMemory >> 20), Descriptors: p.Settings.Descriptors}
-	limitMemory(machine)
+	machine.LimitMemory()
 	p.pool = peer.NewQUICPool(tlsConfig)
 	p.peers = &peer.QUICServer{Config: tlsConfig}
 	address, err := p.peers.Listen(p.Settings.Peers)
--- a/internal/deployment/entry.go
+++ b/internal/deployment/entry.go
@@ -93,7 +93,7 @@
 	operators.Register(mux)
 	log := p.Logger.With().Str("name", p.Settings.Name).Logger()
 	machine := frontdoor.Machine{MemoryMB: int(p.Settings.Memory >> 20), Descriptors: p.Settings.Descriptors}
-	limitMemory(machine)
+	machine.LimitMemory()
 	door := &frontdoor.Door{Name: "callers", Limits: machine.Limits(), Team: callers.Auth.Team, Log: log}
 	if p.callers, err = listenTCP(p.Settings.Callers, mux, serverTLS, door); err != nil {
 		return trace.Wrap(err)
--- a/internal/deployment/server.go
+++ b/internal/deployment/server.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -103,10 +102,3 @@
 	}
 	return listenTCP(address, a.Handler(), nil, &frontdoor.Door{Name: "checks", Limits: m.CheckLimits(), Log: log})
 }
-
-// limitMemory limits the runtime's memory if the machine's is known.
-func limitMemory(m frontdoor.Machine) {
-	if n := m.Limits().RuntimeBytes; n > 0 {
-		debug.SetMemoryLimit(n)
-	}
-}
--- a/internal/frontdoor/limits.go
+++ b/internal/frontdoor/limits.go
@@ -1,5 +1,7 @@
 package frontdoor
 
+import "runtime/debug"
+
 // Machine is what a process may have of its machine. Zero means that a value is not known.
 type Machine struct {
 	MemoryMB int
@@ -48,6 +50,13 @@
 	return l
 }
 
+// LimitMemory limits the memory of the process's runtime if that of the machine is known.
+func (m Machine) LimitMemory() {
+	if n := m.Limits().RuntimeBytes; n > 0 {
+		debug.SetMemoryLimit(n)
+	}
+}
+
 // For readiness checks and reads of metrics. Who checks has a connection for each, or opens one a second.
 const (
 	checkConnections = 64
