frontdoor: small receive buffers, counted in what a connection costs

Callers saw: an entry whose clients send faster than it reads goes over its machine's memory, and is killed there.

Cause: the door counted what it had read. What lay in receive buffers was bounded by the kernel only (up to megabytes a connection), also for connections that wait to be accepted and while a handler works.

Change: where the memory is known, the listener sets a receive buffer of 8 KiB, which its connections inherit from their opening packet on, and a queue as long as the door has connections. Twice the buffer is part of what a connection costs. A request with a body gets a buffer as large as the body, paid for, while less than half of the door's bytes are reserved: in calm, the largest request needs no more round trips on a long link.

--- a/internal/frontdoor/door.go
+++ b/internal/frontdoor/door.go
@@ -20,7 +20,7 @@
 // What is held for a connection, in bytes. The amounts are above what the runtime and net/http hold.
 const (
 	// connectionCost is for the buffers and stacks of an open connection.
-	connectionCost = 32 << 10
+	connectionCost = 32 << 10 // Beside its receive buffer.
 	// headByteCost and headLineCost are for a byte and a line of a head: buffers, and the map entry and the
 	// strings of each field.
 	headByteCost = 2
@@ -67,6 +67,8 @@
 	still  [2]list.List // Connections that wait for their client, by since: idle ones, those with a request under way.
 	report report
 	gauges *gauges
+
+	queueReported time.Time // When the newest log line about the listener's queue was written.
 }
 
 // Indices of Door.still.
@@ -95,6 +97,8 @@
 	sealed bool // It has TLS. Set before the first read.
 
 	// Guarded by door.mu.
+	base      int64 // What is held for the connection itself, between requests too.
+	wide      bool  // Its receive buffer was widened for a body.
 	stage     stage
 	since     time.Time // When the stage began.
 	handlers  int       // That run for its requests.
@@ -108,7 +112,10 @@
 }
 
 // Listener returns a listener whose connections pass the door.
-func (d *Door) Listener(l net.Listener) net.Listener { return listener{l, d} }
+func (d *Door) Listener(l net.Listener) net.Listener {
+	d.limitQueue(l)
+	return listener{l, d}
+}
 
 type listener struct {
 	net.Listener
@@ -122,6 +129,7 @@
 		if err != nil {
 			return nil, err
 		}
+		l.door.checkQueue(l.Listener)
 		if admitted, ok := l.door.admit(c); ok {
 			return admitted, nil
 		}
@@ -131,7 +139,7 @@
 
 // admit takes a connection in if there is room.
 func (d *Door) admit(inner net.Conn) (*conn, bool) {
-	c := &conn{Conn: inner, door: d, host: hostOf(inner), since: time.Now()}
+	c := &conn{Conn: inner, door: d, host: hostOf(inner), since: time.Now(), base: d.connectionCost()}
 	d.mu.Lock()
 	var closed []*conn
 	for d.open >= d.Limits.Connections {
@@ -145,7 +153,7 @@
 	ok := d.open < d.Limits.Connections
 	if ok {
 		var more []*conn
-		more, ok = d.take(c, connectionCost)
+		more, ok = d.take(c, c.base)
 		closed = append(closed, more...)
 	}
 	if ok {
@@ -308,9 +316,9 @@
 
 // release gives back what is held beyond the connection itself. The caller holds door.mu.
 func (c *conn) release() {
-	if c.held > connectionCost {
-		c.door.bytes -= c.held - connectionCost
-		c.held = connectionCost
+	if c.held > c.base {
+		c.door.bytes -= c.held - c.base
+		c.held = c.base
 	}
 }
 
@@ -425,7 +433,7 @@
 		// The first charge of a head that was encrypted or compressed is an estimate.
 		estimated := c.sealed || r.ProtoMajor > 1
 		d.mu.Lock()
-		dropFields := c.handlers == 0 && c.held > 2*connectionCost && len(d.Headers) > 0
+		dropFields := c.handlers == 0 && c.held > c.base+connectionCost && len(d.Headers) > 0
 		if dropFields || estimated && c.handlers == 0 {
 			c.release()
 		}
@@ -452,7 +460,7 @@
 		}
 		call := *r
 		if r.Body != nil && r.Body != http.NoBody {
-			call.Body = &requestBody{ReadCloser: r.Body, request: q, control: http.NewResponseController(w)}
+			call.Body = &requestBody{ReadCloser: r.Body, request: q, control: http.NewResponseController(w), length: r.ContentLength}
 		}
 		next.ServeHTTP(w, &call)
 	})
@@ -527,6 +535,7 @@
 	io.ReadCloser
 	request *request
 	control *http.ResponseController
+	length  int64 // As declared; negative if it is not known.
 	begun   bool
 }
 
@@ -535,6 +544,7 @@
 	if !b.begun {
 		b.begun = true
 		_ = b.control.SetReadDeadline(time.Now().Add(bodyTimeout)) // The server sets it anew after the request.
+		b.request.conn.widen(b.length)
 		b.request.setReading(true)
 	}
 	n, err := b.ReadCloser.Read(p)
--- a/internal/frontdoor/limits.go
+++ b/internal/frontdoor/limits.go
@@ -15,6 +15,9 @@
 	Connections int
 	// Bytes is the most memory for connections, heads and bodies under way.
 	Bytes int64
+	// ReceiveBuffer is the size of the receive buffer of a connection that sends no body, in bytes; zero if the
+	// system chooses it. It also bounds the queue of connections that wait to be accepted by Connections.
+	ReceiveBuffer int
 	// RuntimeBytes is the limit for the runtime's memory; zero if there is none.
 	RuntimeBytes int64
 }
@@ -30,6 +33,8 @@
 	byteShare = 4
 	// peerByteShare is the divisor of the memory for what is held for calls of the system's other processes.
 	peerByteShare = 8
+	// receiveBuffer holds the head of a usual request.
+	receiveBuffer = 8 << 10
 	// runtimeShare is the divisor of the memory for the runtime. The rest is for the program itself and for what
 	// the kernel holds for connections.
 	runtimeShare = 2
@@ -45,7 +50,7 @@
 		l.Connections = max(1, (m.Descriptors-fileDescriptors)/connectionShare)
 	}
 	if memory := int64(m.MemoryMB) << 20; memory > 0 {
-		l.Bytes, l.RuntimeBytes = memory/byteShare, memory/runtimeShare
+		l.Bytes, l.RuntimeBytes, l.ReceiveBuffer = memory/byteShare, memory/runtimeShare, receiveBuffer
 	}
 	return l
 }
@@ -66,7 +71,9 @@
 // CheckLimits returns the limits of a port for readiness checks and reads of metrics.
 func (m Machine) CheckLimits() Limits {
 	l := m.Limits()
-	return Limits{Connections: min(checkConnections, l.Connections), Bytes: min(checkBytes, l.Bytes)}
+	return Limits{
+		Connections: min(checkConnections, l.Connections), Bytes: min(checkBytes, l.Bytes), ReceiveBuffer: l.ReceiveBuffer,
+	}
 }
 
 // PeerLimits returns the limits of a port for the system's own processes.
