telemetry: bound the log lines that calls cause

Callers saw: an entry whose clients send requests for no queue with long paths goes over its memory, and its log grows by megabytes a second.

Cause: every answered call is a line with the whole path, of which an odd character takes six bytes. Up to 2,000 such lines wait for the output, which bounds their number and not their size.

Lines about accepted and cancelled jobs and about runs are always written. The same limit holds for calls of a worker's address and for steps that wait, of which a crowd of small jobs made 10,000.

--- a/internal/dispatch/active.go
+++ b/internal/dispatch/active.go
@@ -16,6 +16,7 @@
 	"sniperill.example/sniperill/internal/clock"
 	"sniperill.example/sniperill/internal/clusterstate"
 	"sniperill.example/sniperill/internal/journal"
+	"sniperill.example/sniperill/internal/telemetry"
 )
 
 const (
@@ -54,6 +55,7 @@
 	unstored      []*member          // Claimed, but the store has rejected the records of their jobs.
 	lastHeartbeat clock.Instant      // When the newest heartbeat was written.
 	learner       learner
+	lines         telemetry.CallLines // About steps that wait.
 	// evacuatedZones are the evacuated zones as of the last pass.
 	evacuatedZones map[string]evacuatedZone
 	sighted        bool          // The operators' records were known in this reign.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -51,7 +51,7 @@
 	for _, d := range next.Deferrals {
 		w := view.Waiting[d.WaitingIndex]
 		if u := idx.waiting[d.WaitingIndex]; u.job.markDeferred(u.key) {
-			ap.Log.Info().Str("job", u.job.spec.ID).Int("occurrence", u.key.Occurrence).Int("step", u.key.Step).
+			ap.lines.Logger(&ap.Log, u.job.spec.Team).Info().Str("job", u.job.spec.ID).Int("occurrence", u.key.Occurrence).Int("step", u.key.Step).
 				Int("free", d.Free).Int("kept", d.RequiredFree).Dur("estimate", w.Estimate).Dur("left", w.Objective.Sub(view.Now)).
 				Msg("A step waits, as free accelerators are kept for urgent work.")
 		}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"sniperill.example/sniperill/internal/clock"
+	"sniperill.example/sniperill/internal/telemetry"
 	"sniperill.example/sniperill/pkg/workflow"
 )
 
@@ -91,6 +92,7 @@
 	lifetimeReport uint64
 	lease          lease
 	deliveries     deliveries
+	lines          telemetry.CallLines // About calls of the worker's address, which others may reach too.
 }
 
 // taskRun names a run.
@@ -182,6 +184,9 @@
 	return true
 }
 
+// callLog returns the logger for a line about a call of the worker's address.
+func (a *Agent) callLog() *zerolog.Logger { return a.lines.Logger(&a.Log, "") }
+
 // ignoreAsOlder reports whether to ignore a heartbeat that has a lower number than the newest of its lifetime. If such
 // heartbeats come for longer than calls are late, and go on rising, the newest was another writer's. The caller holds
 // the lock.
@@ -195,7 +200,7 @@
 	if hb.Sequence <= before.sequence || clock.Since(before.since) <= LateCallTimeout {
 		return true
 	}
-	a.Log.Warn().Stringer("lifetime", hb.Lifetime).Int64("sequence", hb.Sequence).Int64("newest", a.heartbeat.Sequence).
+	a.callLog().Warn().Stringer("lifetime", hb.Lifetime).Int64("sequence", hb.Sequence).Int64("newest", a.heartbeat.Sequence).
 		Msg("The newest heartbeat's number was another writer's.")
 	return false
 }
@@ -219,12 +224,12 @@
 		case err == nil && state.Lifetime == announced.String():
 			return current, "confirmed", nil
 		case err == nil || errors.Is(err, ErrOtherLifetime):
-			a.Log.Warn().Err(err).Str("shown", state.Lifetime).Stringer("announced", announced).Stringer("lifetime", current).
+			a.callLog().Warn().Err(err).Str("shown", state.Lifetime).Stringer("announced", announced).Stringer("lifetime", current).
 				Msg("Ignored a heartbeat for a lifetime that the worker is not in.")
 			return current, "", fmt.Errorf("host.Heartbeat: lifetime %v: %w", announced, ErrOtherWorker)
 		}
 	}
-	a.Log.Warn().Err(err).Stringer("announced", announced).Msg("Put off a heartbeat for a lifetime that the worker doesn't confirm.")
+	a.callLog().Warn().Err(err).Stringer("announced", announced).Msg("Put off a heartbeat for a lifetime that the worker doesn't confirm.")
 	return current, "", fmt.Errorf("host.Heartbeat: lifetime %v: %w: %w", announced, ErrUnconfirmed, err)
 }
 
@@ -257,10 +262,10 @@
 		return
 	}
 	if !a.heartbeat.Draining {
-		a.Log.Warn().Stringer("lifetime", a.lifetime).Msg("Ignored that the worker shuts down, as it has not drained.")
+		a.callLog().Warn().Stringer("lifetime", a.lifetime).Msg("Ignored that the worker shuts down, as it has not drained.")
 		return
 	}
-	a.Log.Info().Stringer("lifetime", a.lifetime).Msg("The worker shuts down.")
+	a.callLog().Info().Stringer("lifetime", a.lifetime).Msg("The worker shuts down.")
 	a.leaving = true
 	a.notifyChange()
 }
--- a/internal/intake/leave.go
+++ b/internal/intake/leave.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"sniperill.example/sniperill/internal/clock"
+	"sniperill.example/sniperill/internal/telemetry"
 	pb "sniperill.example/sniperill/proto/sniperill/v1"
 )
 
@@ -45,7 +46,7 @@
 	s := h.Service
 	s.pending.takeOver(r.Msg.GetOpen(), r.Msg.GetAccepted()) // Before the peer stops counting as silent.
 	s.incarnations.noteLeft(r.Msg.GetEntry(), r.Msg.GetLife())
-	s.Log.Info().Str("peer", r.Msg.GetEntry()).Int("open", len(r.Msg.GetOpen())).Int("accepted", len(r.Msg.GetAccepted())).Msg("A peer leaves.")
+	s.callLog("").Info().Str("peer", telemetry.Shorten(r.Msg.GetEntry())).Int("open", len(r.Msg.GetOpen())).Int("accepted", len(r.Msg.GetAccepted())).Msg("A peer leaves.")
 	return connect.NewResponse(&pb.DeskLeaveResponse{}), nil
 }
 
--- a/internal/intake/peers.go
+++ b/internal/intake/peers.go
@@ -47,7 +47,7 @@
 
 // call is a caller's request, with functions that make it here and at a peer.
 type call struct {
-	name, job string
+	name, job, team string
 	// refusalIsFinal is set if a refusal promises that the job never runs.
 	refusalIsFinal bool
 	local          func(context.Context) error
@@ -114,7 +114,7 @@
 func (s *Service) forward(ctx context.Context, c call, err error) error {
 	survey := s.surveyPeers(ctx, c.job)
 	if c.refusalIsFinal && survey.accepted {
-		s.Log.Info().AnErr("own", err).Str("job", c.job).Msg("A job was submitted again that has been accepted.")
+		s.callLog(c.team).Info().AnErr("own", err).Str("job", c.job).Msg("A job was submitted again that has been accepted.")
 		return nil
 	}
 	if c.refusalIsFinal {
@@ -124,7 +124,7 @@
 		return err
 	}
 	result, forwardErr := s.forwardTo(ctx, c, survey.ready)
-	s.Log.Info().Str("job", c.job).Str("call", c.name).Str("peer", survey.ready.Name).Stringer("result", result).
+	s.callLog(c.team).Info().Str("job", c.job).Str("call", c.name).Str("peer", survey.ready.Name).Stringer("result", result).
 		AnErr("failed", forwardErr).AnErr("own", err).Msg("Passed a call on.")
 	switch result {
 	case pb.DeskResult_DESK_RESULT_DONE:
--- a/internal/intake/service.go
+++ b/internal/intake/service.go
@@ -16,6 +16,7 @@
 	"sniperill.example/sniperill/internal/clock"
 	"sniperill.example/sniperill/internal/clusterstate"
 	"sniperill.example/sniperill/internal/journal"
+	"sniperill.example/sniperill/internal/telemetry"
 	"sniperill.example/sniperill/pkg/shop"
 	"sniperill.example/sniperill/pkg/workflow"
 	pb "sniperill.example/sniperill/proto/sniperill/v1"
@@ -64,8 +65,12 @@
 	introduction sync.Once
 	pending      pendingJobs
 	store        storeProbe
+	lines        telemetry.CallLines
 }
 
+// callLog returns the logger for a line about a call of a team.
+func (s *Service) callLog(team string) *zerolog.Logger { return s.lines.Logger(&s.Log, team) }
+
 // StateCurrent reports whether the journal has been read to its end recently.
 func (s *Service) StateCurrent() bool {
 	c := s.Follower.CaughtUpAt()
@@ -107,7 +112,7 @@
 			return err
 		}
 		if clock.Pause(ctx, undecidedRetryDelay) != nil {
-			s.Log.Warn().Err(err).Str("job", j.ID).Msg("A job was not refused, as an earlier call may be written.")
+			s.callLog(j.Team).Warn().Err(err).Str("job", j.ID).Msg("A job was not refused, as an earlier call may be written.")
 			return err
 		}
 	}
@@ -126,7 +131,7 @@
 func (s *Service) submitOnce(ctx context.Context, j *workflow.Job) error {
 	done := s.pending.begin(j.ID)
 	err := s.execute(ctx, call{
-		name: "submit", job: j.ID, refusalIsFinal: true,
+		name: "submit", job: j.ID, team: j.Team, refusalIsFinal: true,
 		local: func(ctx context.Context) error { return s.submit(ctx, j) },
 		forward: func(ctx context.Context, peer sniperillv1connect.DeskServiceClient) (pb.DeskResult, error) {
 			data, err := json.Marshal(j)
@@ -144,28 +149,30 @@
 }
 
 func (s *Service) submit(ctx context.Context, j *workflow.Job) error {
-	log := s.Log.Info().Str("job", j.ID).Str("team", j.Team).Str("queue", j.Queue.Name).Int("tasks", j.Tasks())
+	line := func(log *zerolog.Logger) *zerolog.Event {
+		return log.Info().Str("job", j.ID).Str("team", j.Team).Str("queue", j.Queue.Name).Int("tasks", j.Tasks())
+	}
 	if known, ok := s.ClusterState.Job(j.ID); ok {
-		log.Str("state", string(known.State())).Int64("offset", known.AcceptedOffset).Msg("A job was submitted again.")
+		line(s.callLog(j.Team)).Str("state", string(known.State())).Int64("offset", known.AcceptedOffset).Msg("A job was submitted again.")
 		return nil
 	}
 	if _, accepted := s.pending.status(j.ID); accepted {
-		log.Msg("A job was submitted again before its record was read from the journal.")
+		line(s.callLog(j.Team)).Msg("A job was submitted again before its record was read from the journal.")
 		return nil
 	}
-	if err := s.awaitPendingWrite(ctx, j.ID); err != nil {
+	if err := s.awaitPendingWrite(ctx, j.ID, j.Team); err != nil {
 		return err
 	}
 	if err := s.reachStore(ctx); err != nil {
-		return s.appendError("submit", j.ID, err)
+		return s.appendError("submit", j.ID, j.Team, err)
 	}
 	s.introduce(ctx)
 	offset, err := s.Writer.Add(ctx, clusterstate.JobRecord(j))
 	if err != nil {
 		s.pending.noteUndecided(j.ID, err)
-		return s.appendError("submit", j.ID, err)
+		return s.appendError("submit", j.ID, j.Team, err)
 	}
-	log.Int64("offset", offset).Msg("Accepted a job.")
+	line(&s.Log).Int64("offset", offset).Msg("Accepted a job.")
 	return nil
 }
 
@@ -189,7 +196,7 @@
 		return nil
 	}
 	if err := workers.CanRun(j); err != nil {
-		s.Log.Info().Err(err).Str("job", j.ID).Str("team", j.Team).Str("queue", j.Queue.Name).
+		s.callLog(j.Team).Info().Err(err).Str("job", j.ID).Str("team", j.Team).Str("queue", j.Queue.Name).
 			Int("workers", len(workers)).Msg("Refused a job that no worker can run.")
 		return fmt.Errorf("intake.Desk: %w: %w", ErrImpossible, err)
 	}
@@ -197,7 +204,7 @@
 }
 
 // awaitPendingWrite waits until an earlier write of the same job is decided.
-func (s *Service) awaitPendingWrite(ctx context.Context, id string) error {
+func (s *Service) awaitPendingWrite(ctx context.Context, id, team string) error {
 	settled := s.pending.settled(id)
 	if settled == nil {
 		return nil
@@ -206,7 +213,7 @@
 	case <-settled:
 		return nil
 	case <-ctx.Done():
-		s.Log.Warn().Str("job", id).Msg("An earlier write of the job is still open.")
+		s.callLog(team).Warn().Str("job", id).Msg("An earlier write of the job is still open.")
 		return fmt.Errorf("intake.Service: submit: %w: an earlier write is undecided", ErrUndecided)
 	}
 }
@@ -223,7 +230,7 @@
 		}
 	}
 	err := s.execute(ctx, call{
-		name: "state", job: id,
+		name: "state", job: id, team: team,
 		local: func(ctx context.Context) error {
 			own, err := s.state(ctx, id, team)
 			keep(own)
@@ -254,7 +261,7 @@
 // Cancel cancels a job. It does nothing if the job has ended.
 func (s *Service) Cancel(ctx context.Context, id, team string) error {
 	return s.execute(ctx, call{
-		name: "cancel", job: id,
+		name: "cancel", job: id, team: team,
 		local: func(ctx context.Context) error { return s.cancel(ctx, id, team) },
 		forward: func(ctx context.Context, peer sniperillv1connect.DeskServiceClient) (pb.DeskResult, error) {
 			resp, err := peer.Cancel(ctx, connect.NewRequest(&pb.DeskCancelRequest{Job: id, Team: team}))
@@ -272,15 +279,15 @@
 		return err
 	}
 	if j.State().Final() {
-		s.Log.Info().Str("job", id).Str("state", string(j.State())).Msg("The job to cancel has already ended.")
+		s.callLog(team).Info().Str("job", id).Str("state", string(j.State())).Msg("The job to cancel has already ended.")
 		return nil
 	}
 	if err := s.reachStore(ctx); err != nil {
-		return s.appendError("cancel", id, err)
+		return s.appendError("cancel", id, team, err)
 	}
 	offset, err := s.Writer.Add(ctx, clusterstate.CancelRecord(id))
 	if err != nil {
-		return s.appendError("cancel", id, err)
+		return s.appendError("cancel", id, team, err)
 	}
 	s.Log.Info().Str("job", id).Int64("offset", offset).Msg("Cancelled a job.")
 	return nil
@@ -297,7 +304,7 @@
 			return j, err
 		}
 		if clock.Pause(ctx, undecidedRetryDelay) != nil {
-			s.Log.Warn().Str("job", id).Msg("A cancellation is not answered, as the job may still be written.")
+			s.callLog(team).Warn().Str("job", id).Msg("A cancellation is not answered, as the job may still be written.")
 			return nil, fmt.Errorf("intake.Service: cancel: %w: the job may still be written", ErrUndecided)
 		}
 	}
@@ -321,13 +328,13 @@
 	j, ok := s.ClusterState.Job(id)
 	if !ok {
 		if err := s.Follower.Refresh(ctx); err != nil {
-			s.Log.Warn().Err(err).Str("job", id).Msg("Can't tell whether the job exists.")
+			s.callLog(team).Warn().Err(err).Str("job", id).Msg("Can't tell whether the job exists.")
 			return nil, fmt.Errorf("intake.Service: %w: %w", ErrUnavailable, err)
 		}
 		j, ok = s.ClusterState.Job(id)
 	}
 	if !ok || j.Spec.Team != team {
-		s.Log.Info().Str("job", id).Str("team", team).Bool("known", ok).Msg("No such job.")
+		s.callLog(team).Info().Str("job", id).Str("team", team).Bool("known", ok).Msg("No such job.")
 		return nil, fmt.Errorf("intake.Service: job %q: %w", id, shop.ErrNotFound)
 	}
 	return j, nil
@@ -335,7 +342,7 @@
 
 // appendError returns the error of a call whose append failed: ErrUnavailable if nothing was
 // or will be written, ErrUndecided otherwise.
-func (s *Service) appendError(call, id string, err error) error {
+func (s *Service) appendError(call, id, team string, err error) error {
 	kind := ErrUndecided
 	switch {
 	case errors.Is(err, ErrUnavailable), errors.Is(err, journal.ErrUnavailable), errors.Is(err, journal.ErrFenced):
@@ -343,7 +350,7 @@
 	case errors.Is(err, journal.ErrRejected):
 		kind = ErrTooLarge
 	}
-	s.Log.Warn().Err(err).Str("job", id).Str("call", call).Bool("not_run", !errors.Is(kind, ErrUndecided)).
+	s.callLog(team).Warn().Err(err).Str("job", id).Str("call", call).Bool("not_run", !errors.Is(kind, ErrUndecided)).
 		Msg("A call could not be written.")
 	return fmt.Errorf("intake.Service: %s: %w: %w", call, kind, err)
 }
