clusterstate: count what a job takes beside its record and tasks

Callers saw: an entry on which one team leaves 10,400 jobs of one task each goes over its memory, with the room for jobs not nearly used up.

Cause: the room counts twice a job's record and 100 bytes a task, some 800 bytes for such a job.

Change: 4 KiB a job are counted beside.

--- a/internal/clusterstate/state.go
+++ b/internal/clusterstate/state.go
@@ -19,7 +19,7 @@
 	AcceptedOffset int64 // Offset of the record that accepted the job.
 	Cancelled      bool
 	progress       storedProgress
-	bytes          int64 // What jobBytes says of it; zero until it is accepted.
+	bytes          int64 // What JobMemory says of it; zero until it is accepted.
 	// FinalSince is when this process learned that the job is final, zero until then.
 	FinalSince clock.Instant
 }
@@ -72,13 +72,17 @@
 	bytes   map[string]int64 // Of the jobs, by team.
 }
 
-// taskBytes is the memory for the state of a task: its run, worker and checkpoint here and at the planner.
-const taskBytes = 100
+const (
+	// jobOverhead is the memory that a job of any size takes, here, at the planner and in its records of the journal.
+	jobOverhead = 4 << 10
+	// taskBytes is the memory for the state of a task: its run, worker and checkpoint here and at the planner.
+	taskBytes = 100
+)
 
-// jobBytes returns how much memory a job takes that was read from a record of the given size. The names and lists
-// of its steps take up to twice as much as their text.
-func jobBytes(recordSize int, j *workflow.Job) int64 {
-	return int64(2*recordSize + taskBytes*j.Tasks())
+// JobMemory returns how much memory a job takes whose record has the given size. The names and lists of its steps
+// take up to twice as much as their text.
+func JobMemory(recordSize int, j *workflow.Job) int64 {
+	return int64(jobOverhead + 2*recordSize + taskBytes*j.Tasks())
 }
 
 // JobBytes returns the memory that a team's jobs take, and that all jobs take.
@@ -237,7 +241,7 @@
 	var odd error
 	err := s.updateJob(id, func(j *Job) error {
 		if j.Spec == nil { // Only the first record counts; a retry by the caller may add another.
-			j.Spec, j.AcceptedOffset, j.bytes = &spec, r.Offset, jobBytes(len(r.Value), &spec)
+			j.Spec, j.AcceptedOffset, j.bytes = &spec, r.Offset, JobMemory(len(r.Value), &spec)
 			s.addBytes(spec.Team, j.bytes)
 			// The records of a job may come in any order, so its progress is checked once it is known.
 			j.progress, odd = j.progress.checked(&spec)
