intake: jobs that are being written take room

Callers saw: while one team's clients send the largest valid job on 130 connections again and again, another team's ordinary jobs are refused with 503 for minutes.

All requests that were let in meanwhile were accepted, some 80 where a team's half of the room has 23, and filled the other half too.

Change: once a body is decoded, its job takes room until the cluster state has it or it is settled as not written; a repeat of it takes none. Without room it is refused as before the body, after the peers were asked. A peer that gets the job passed on reserves likewise.

--- a/internal/intake/peers.go
+++ b/internal/intake/peers.go
@@ -343,6 +343,12 @@
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
 	done := h.Service.pending.begin(j.ID)
+	end, ok := h.Service.reserve(&j)
+	if !ok {
+		err := fmt.Errorf("intake.Handler: %w: %w", ErrUnavailable, ErrFull)
+		return connect.NewResponse(&pb.DeskSubmitResponse{Result: resultOf(done(err))}), nil
+	}
+	defer end()
 	return connect.NewResponse(&pb.DeskSubmitResponse{Result: resultOf(done(h.Service.submit(ctx, &j)))}), nil
 }
 
--- a/internal/intake/room_test.go
+++ b/internal/intake/room_test.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"fmt"
 	"testing"
 
 	"sniperill.example/sniperill/internal/clusterstate"
@@ -58,3 +59,64 @@
 		t.Errorf("after the job was dropped: %d of %d bytes", ofTeam, all)
 	}
 }
+
+// Jobs that are being written take room before the journal has them, and give it back if they aren't accepted.
+func TestReservedJobsTakeRoom(t *testing.T) {
+	s := &Service{MemoryMB: 1, ClusterState: &clusterstate.State{}}
+	job := func(id, team string) *workflow.Job {
+		return &workflow.Job{ID: id, Team: team, Queue: workflow.Queue{Name: "q"}, Steps: []workflow.Step{{Count: workflow.MaxTasks}}}
+	}
+	var ends []func()
+	for i := 0; ; i++ {
+		id := fmt.Sprintf("%016x", i)
+		done := s.pending.begin(id)
+		end, ok := s.reserve(job(id, "red"))
+		if !ok {
+			_ = done(ErrUnavailable)
+			break
+		}
+		ends = append(ends, func() { _ = done(ErrUnavailable); end() })
+	}
+	if len(ends) == 0 || !s.Full("red") || s.Full("blue") {
+		t.Errorf("after %d reserved jobs: full for red %v, for blue %v", len(ends), s.Full("red"), s.Full("blue"))
+	}
+	if end, ok := s.reserve(job(fmt.Sprintf("%016x", 0), "red")); !ok {
+		t.Error("a job that is being written was refused as there is no room")
+	} else {
+		end()
+	}
+	for _, end := range ends {
+		end()
+	}
+	if s.Full("red") || len(s.reserved.jobs) != 0 || s.reserved.all != 0 {
+		t.Errorf("%d jobs, %d bytes are reserved after all were refused", len(s.reserved.jobs), s.reserved.all)
+	}
+}
+
+// A job counts once when the journal has it.
+func TestReservationEndsWithTheRecord(t *testing.T) {
+	s := &Service{MemoryMB: 1, ClusterState: &clusterstate.State{}}
+	job := &workflow.Job{
+		ID: "5c0e7a21d94b36f8", Team: "red", Queue: workflow.Queue{Name: "q"},
+		Steps: []workflow.Step{{Count: workflow.MaxTasks}},
+	}
+	done := s.pending.begin(job.ID)
+	end, ok := s.reserve(job)
+	if !ok {
+		t.Fatal("no room for one job")
+	}
+	_ = done(nil)
+	end()
+	if len(s.reserved.jobs) != 1 {
+		t.Error("an accepted job takes no room until its record is read")
+	}
+	if err := s.ClusterState.Apply(clusterstate.JobRecord(job)); err != nil {
+		t.Fatal(err)
+	}
+	s.reserved.mu.Lock()
+	s.dropSettled()
+	s.reserved.mu.Unlock()
+	if len(s.reserved.jobs) != 0 {
+		t.Error("an accepted job takes room twice")
+	}
+}
--- a/internal/intake/service.go
+++ b/internal/intake/service.go
@@ -64,6 +64,7 @@
 	incarnations incarnations
 	introduction sync.Once
 	pending      pendingJobs
+	reserved     reservations
 	store        storeProbe
 	lines        telemetry.CallLines
 }
@@ -102,6 +103,11 @@
 	if err := s.checkFeasible(j); err != nil {
 		return err
 	}
+	end, ok := s.reserve(j)
+	if !ok {
+		return s.RefuseFull(ctx, j.ID)
+	}
+	defer end()
 	ctx, cancel := context.WithTimeout(ctx, outcomeTimeout)
 	defer cancel()
 	for {
@@ -128,6 +134,15 @@
 	return done(s.surveyPeers(ctx, id).qualify(fmt.Errorf("intake.Service: refuse: %w", ErrUnavailable)))
 }
 
+// RefuseFull is Refuse for a job that there is no room for. A refusal is ErrFull, too.
+func (s *Service) RefuseFull(ctx context.Context, id string) error {
+	err := s.Refuse(ctx, id)
+	if errors.Is(err, ErrUnavailable) {
+		return fmt.Errorf("%w: %w", err, ErrFull)
+	}
+	return err
+}
+
 func (s *Service) submitOnce(ctx context.Context, j *workflow.Job) error {
 	done := s.pending.begin(j.ID)
 	err := s.execute(ctx, call{
