--- a/internal/frontdoor/door_test.go
+++ b/internal/frontdoor/door_test.go
@@ -22,9 +22,9 @@
 		machine Machine
 		want    Limits
 	}{
-		{"an entry VM", Machine{144, 3075}, Limits{Connections: 958, Bytes: 36 << 20, ReceiveBuffer: 8 << 10, RuntimeBytes: 72 << 20}},
-		{"unknown", Machine{}, Limits{Connections: 16_384, Bytes: 1 << 30}},
-		{"no descriptors but those for files", Machine{0, 200}, Limits{Connections: 1, Bytes: 1 << 30}},
+		{"an entry VM", Machine{144, 3075}, Limits{Connections: 958, Bytes: 36 << 20, ReceiveBuffer: 8 << 10, PeerCalls: 479, RuntimeBytes: 72 << 20}},
+		{"unknown", Machine{}, Limits{Connections: 16_384, Bytes: 1 << 30, PeerCalls: 4096}},
+		{"no descriptors but those for files", Machine{0, 200}, Limits{Connections: 1, Bytes: 1 << 30, PeerCalls: 1}},
 	}
 	for _, tt := range tests {
 		if diff := cmp.Diff(tt.want, tt.machine.Limits()); diff != "" {
--- a/internal/frontdoor/limits.go
+++ b/internal/frontdoor/limits.go
@@ -18,6 +18,8 @@
 	// ReceiveBuffer is the size of the receive buffer of a connection that sends no body, in bytes; zero if the
 	// system chooses it. It also bounds the queue of connections that wait to be accepted by Connections.
 	ReceiveBuffer int
+	// PeerCalls is the largest number of calls to the system's other processes that clients cause at the same time.
+	PeerCalls int
 	// RuntimeBytes is the limit for the runtime's memory; zero if there is none.
 	RuntimeBytes int64
 }
@@ -26,9 +28,10 @@
 const (
 	// fileDescriptors are those of a machine that are for files, by the platform's pages.
 	fileDescriptors = 200
-	// connectionShare is the divisor of the other descriptors for clients. As many are left for the calls to peers
-	// and the store that their requests cause, one each at most, and as many for peers, workers and operators.
+	// connectionShare is the divisor of the other descriptors for clients, peerShare that for connections of the
+	// system's other processes, and again for calls to them. The rest is for checks, the store and workers.
 	connectionShare = 3
+	peerShare       = 6
 	// byteShare is the divisor of the memory for what is held for clients.
 	byteShare = 4
 	// peerByteShare is the divisor of the memory for what is held for calls of the system's other processes.
@@ -40,14 +43,16 @@
 	runtimeShare = 2
 
 	unknownConnections = 16_384
+	unknownPeerCalls   = 4096
 	unknownBytes       = 1 << 30
 )
 
 // Limits returns the limits on the machine.
 func (m Machine) Limits() Limits {
-	l := Limits{Connections: unknownConnections, Bytes: unknownBytes}
+	l := Limits{Connections: unknownConnections, Bytes: unknownBytes, PeerCalls: unknownPeerCalls}
 	if m.Descriptors > 0 {
-		l.Connections = max(1, (m.Descriptors-fileDescriptors)/connectionShare)
+		sockets := m.Descriptors - fileDescriptors
+		l.Connections, l.PeerCalls = max(1, sockets/connectionShare), max(1, sockets/peerShare)
 	}
 	if memory := int64(m.MemoryMB) << 20; memory > 0 {
 		l.Bytes, l.RuntimeBytes, l.ReceiveBuffer = memory/byteShare, memory/runtimeShare, receiveBuffer
@@ -80,6 +85,9 @@
 func (m Machine) PeerLimits() Limits {
 	l := m.Limits()
 	l.RuntimeBytes = 0
+	if m.Descriptors > 0 {
+		l.Connections = max(1, (m.Descriptors-fileDescriptors)/peerShare)
+	}
 	if m.MemoryMB > 0 {
 		l.Bytes = int64(m.MemoryMB) << 20 / peerByteShare
 	}
--- a/internal/intake/peers.go
+++ b/internal/intake/peers.go
@@ -174,9 +174,16 @@
 // surveyPeers probes all peers concurrently that are not known to be silent.
 func (s *Service) surveyPeers(ctx context.Context, job string) peerSurvey {
 	// The probes must not end with the caller's context, which says nothing about the peers.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
-	defer cancel()
+	ctx = context.WithoutCancel(ctx)
 	peers := s.Peers()
+	release, err := s.acquirePeerCalls(ctx, len(peers))
+	if err != nil {
+		_, accepted := s.known(job)
+		return peerSurvey{silent: true, accepted: accepted}
+	}
+	defer release()
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
 	answers := make([]*pb.DeskReadyResponse, len(peers))
 	gone := make([]bool, len(peers)) // It has left, and nothing runs at its address.
 	var wg sync.WaitGroup
@@ -271,6 +278,11 @@
 
 // forwardTo makes the call at the given peer.
 func (s *Service) forwardTo(ctx context.Context, c call, peer Peer) (pb.DeskResult, error) {
+	release, err := s.acquirePeerCalls(ctx, 1)
+	if err != nil {
+		return pb.DeskResult_DESK_RESULT_UNAVAILABLE, err // The call was never sent.
+	}
+	defer release()
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	result, err := c.forward(ctx, peer.Client)
--- a/internal/intake/service.go
+++ b/internal/intake/service.go
@@ -49,6 +49,9 @@
 	Name, Incarnation string
 	// MemoryMB is the memory of this entry, in MB; zero if it is not known.
 	MemoryMB int
+	// MaxPeerCalls is the most calls to peers that callers' requests may cause at the same time; zero if there is no
+	// limit.
+	MaxPeerCalls int
 
 	ClusterState *clusterstate.State
 	Follower     *journal.Follower
@@ -65,6 +68,7 @@
 	introduction sync.Once
 	pending      pendingJobs
 	reserved     reservations
+	peerCalls    peerCalls
 	store        storeProbe
 	lines        telemetry.CallLines
 }
@@ -342,7 +346,7 @@
 func (s *Service) find(ctx context.Context, id, team string) (*clusterstate.Job, error) {
 	j, ok := s.ClusterState.Job(id)
 	if !ok {
-		if err := s.Follower.Refresh(ctx); err != nil {
+		if err := s.Follower.SharedRefresh(ctx); err != nil {
 			s.callLog(team).Warn().Err(err).Str("job", id).Msg("Can't tell whether the job exists.")
 			return nil, fmt.Errorf("intake.Service: %w: %w", ErrUnavailable, err)
 		}
--- a/internal/journal/follower.go
+++ b/internal/journal/follower.go
@@ -49,6 +49,7 @@
 	lastOffsets map[string]int64 // Offset of the last record applied, by key.
 	unavailable bool
 	wake        chan struct{} // Ends the pause between two reads.
+	shared      sharedRefreshes
 
 	// These are atomic because callers read them while holding locks that Apply may need.
 	answeredAt atomic.Int64 // When the last answer to a read arrived.
