intake: bound what callers of the peers' port make an entry remember

Callers saw: nothing yet. Whoever reaches the port for the system's own processes makes an entry's memory grow for good.

Cause: each call is noted by the name and the incarnation that it brings, of any length, and nothing ever forgets them.

Change: names and ids in these calls have 1,000 bytes at most, and of entries that have not registered an entry remembers 100. Calls of others are refused; who calls counts them as not answered, which refuses nothing.

--- a/internal/clusterstate/state.go
+++ b/internal/clusterstate/state.go
@@ -137,6 +137,12 @@
 // Entries returns the addresses of all entries that have registered.
 func (s *State) Entries() []Address { return addresses(&s.entries) }
 
+// HasEntry reports whether an entry of the name has registered.
+func (s *State) HasEntry(name string) bool {
+	_, ok := s.entries.Load(name)
+	return ok
+}
+
 // Agents returns the addresses of all agents that have registered.
 func (s *State) Agents() []Address { return addresses(&s.agents) }
 
--- a/internal/intake/leave.go
+++ b/internal/intake/leave.go
@@ -8,7 +8,6 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"sniperill.example/sniperill/internal/clock"
-	"sniperill.example/sniperill/internal/telemetry"
 	pb "sniperill.example/sniperill/proto/sniperill/v1"
 )
 
@@ -44,9 +43,12 @@
 // Leave records that a peer has left, and takes over what it knew of jobs.
 func (h Handler) Leave(_ context.Context, r *connect.Request[pb.DeskLeaveRequest]) (*connect.Response[pb.DeskLeaveResponse], error) {
 	s := h.Service
+	if err := s.checkEntry(r.Msg.GetEntry(), r.Msg.GetLife()); err != nil {
+		return nil, err
+	}
 	s.pending.takeOver(r.Msg.GetOpen(), r.Msg.GetAccepted()) // Before the peer stops counting as silent.
 	s.incarnations.noteLeft(r.Msg.GetEntry(), r.Msg.GetLife())
-	s.callLog("").Info().Str("peer", telemetry.Shorten(r.Msg.GetEntry())).Int("open", len(r.Msg.GetOpen())).Int("accepted", len(r.Msg.GetAccepted())).Msg("A peer leaves.")
+	s.callLog("").Info().Str("peer", r.Msg.GetEntry()).Int("open", len(r.Msg.GetOpen())).Int("accepted", len(r.Msg.GetAccepted())).Msg("A peer leaves.")
 	return connect.NewResponse(&pb.DeskLeaveResponse{}), nil
 }
 
--- a/internal/intake/peers.go
+++ b/internal/intake/peers.go
@@ -330,6 +330,9 @@
 // names one.
 func (h Handler) Ready(_ context.Context, r *connect.Request[pb.DeskReadyRequest]) (*connect.Response[pb.DeskReadyResponse], error) {
 	s := h.Service
+	if err := s.checkEntry(r.Msg.GetEntry(), r.Msg.GetLife()); err != nil {
+		return nil, err
+	}
 	if name := r.Msg.GetEntry(); name != "" {
 		s.calledAt.Store(name, clock.Now())
 		_, silent := s.silentSince.Load(name)
@@ -354,6 +357,9 @@
 	if err := j.Validate().Err(); err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
+	if err := checkNames(j.ID, j.Team); err != nil {
+		return nil, err
+	}
 	done := h.Service.pending.begin(j.ID)
 	end, ok := h.Service.reserve(&j)
 	if !ok {
@@ -366,12 +372,18 @@
 
 // State returns a job's state.
 func (h Handler) State(ctx context.Context, r *connect.Request[pb.DeskStateRequest]) (*connect.Response[pb.DeskStateResponse], error) {
+	if err := checkNames(r.Msg.GetJob(), r.Msg.GetTeam()); err != nil {
+		return nil, err
+	}
 	state, err := h.Service.state(ctx, r.Msg.GetJob(), r.Msg.GetTeam())
 	return connect.NewResponse(&pb.DeskStateResponse{Result: resultOf(err), State: string(state)}), nil
 }
 
 // Cancel cancels a job.
 func (h Handler) Cancel(ctx context.Context, r *connect.Request[pb.DeskCancelRequest]) (*connect.Response[pb.DeskCancelResponse], error) {
+	if err := checkNames(r.Msg.GetJob(), r.Msg.GetTeam()); err != nil {
+		return nil, err
+	}
 	err := h.Service.cancel(ctx, r.Msg.GetJob(), r.Msg.GetTeam())
 	return connect.NewResponse(&pb.DeskCancelResponse{Result: resultOf(err)}), nil
 }
--- a/internal/intake/service.go
+++ b/internal/intake/service.go
@@ -69,6 +69,7 @@
 	pending      pendingJobs
 	reserved     reservations
 	peerCalls    peerCalls
+	strangers    strangers
 	store        storeProbe
 	lines        telemetry.CallLines
 }
