frontdoor: bound the library's lines about failed connections

Callers saw: nothing; the log of an entry of the own deployment grows by a line for each connection that doesn't speak TLS.

Cause: net/http writes a message for each failed handshake to the standard logger, which nothing bounds.

Change: these messages are lines of the door's log, at most as many as calls without a team may cause (100 a second, 400 at once), 4 KiB each.

Evidence: TestFailedHandshakesCauseFewLines fails without the change, as the messages go to the standard logger.

--- a/internal/frontdoor/door.go
+++ b/internal/frontdoor/door.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"sniperill.example/sniperill/internal/telemetry"
 )
 
 // What is held for a connection, in bytes. The amounts are above what the runtime and net/http hold.
@@ -69,6 +71,7 @@
 	gauges *gauges
 
 	queueReported time.Time // When the newest log line about the listener's queue was written.
+	lines         telemetry.CallLines
 }
 
 // Indices of Door.still.
@@ -397,6 +400,7 @@
 // Apply makes the server's requests pass the door. Its listener must be one of the door's.
 func (d *Door) Apply(s *http.Server) {
 	s.MaxHeaderBytes, s.IdleTimeout = MaxHeaderBytes, IdleTimeout
+	s.ErrorLog = d.errorLog()
 	s.Handler = d.handler(s.Handler)
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		if inner, ok := c.(interface{ NetConn() net.Conn }); ok { // TLS.
--- a/internal/frontdoor/door_test.go
+++ b/internal/frontdoor/door_test.go
@@ -320,3 +320,20 @@
 		t.Errorf("the log holds a key: %s", out.String())
 	}
 }
+
+// Load pattern: clients that don't speak TLS connect again and again, each of which the library logs.
+func TestFailedHandshakesCauseFewLines(t *testing.T) {
+	var out bytes.Buffer
+	d := &Door{Name: t.Name(), Log: zerolog.New(&out)}
+	s := &http.Server{}
+	d.Apply(s)
+	if s.ErrorLog == nil {
+		t.Fatal("the library writes its messages to the standard logger")
+	}
+	for range 10_000 {
+		s.ErrorLog.Printf("http: TLS handshake error from %s: EOF", "10.0.0.1:4000")
+	}
+	if n := strings.Count(out.String(), "TLS handshake error"); n == 0 || n > 1000 {
+		t.Errorf("%d lines", n)
+	}
+}
--- a/internal/frontdoor/report.go
+++ b/internal/frontdoor/report.go
@@ -1,7 +1,9 @@
 package frontdoor
 
 import (
+	"log"
 	"net"
+	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -12,6 +14,8 @@
 	reportInterval = time.Second
 	// maxReportedHosts bounds the hosts whose connections are counted for a log line.
 	maxReportedHosts = 64
+	// maxMessage bounds a message of the library, which may be the trace of a panic, in bytes.
+	maxMessage = 4 << 10
 	// maxKey bounds a key that a connection is counted for, in bytes.
 	maxKey = 1024
 )
@@ -106,6 +110,20 @@
 	d.report = report{last: now}
 }
 
+// errorLog returns the log of the library's messages about connections, such as failed handshakes, which clients cause.
+func (d *Door) errorLog() *log.Logger {
+	return log.New(errorWriter{d}, "", 0)
+}
+
+type errorWriter struct{ door *Door }
+
+// Write writes one message.
+func (w errorWriter) Write(p []byte) (int, error) {
+	message := strings.TrimSpace(string(p[:min(len(p), maxMessage)]))
+	w.door.lines.Logger(&w.door.Log, "").Warn().Str("door", w.door.Name).Str("error", message).Msg("A connection failed.")
+	return len(p), nil
+}
+
 // gauges show what a door holds.
 type gauges struct{ connections, bytes *metrics.Gauge }
 
