--- a/internal/frontdoor/door.go
+++ b/internal/frontdoor/door.go
@@ -21,8 +21,8 @@
 
 // What is held for a connection, in bytes. The amounts are above what the runtime and net/http hold.
 const (
-	// connectionCost is for the buffers and stacks of an open connection.
-	connectionCost = 32 << 10 // Beside its receive buffer.
+	// connectionCost is for the stacks and buffers of an open connection, without its receive buffer.
+	connectionCost = 32 << 10
 	// headByteCost and headLineCost are for a byte and a line of a head: buffers, and the map entry and the
 	// strings of each field.
 	headByteCost = 2
--- a/internal/intake/room.go
+++ b/internal/intake/room.go
@@ -41,7 +41,7 @@
 	room := int64(memoryMB) << 20 / jobShare
 	ofTeam, all := s.ClusterState.JobBytes(team)
 	isFull := full(room, ofTeam+s.reserved.teams[team], all+s.reserved.all)
-	if isFull && len(s.reserved.jobs) > 0 { // Some may be in the cluster state by now.
+	if isFull && len(s.reserved.jobs) > 0 { // The cluster state may count some of them by now.
 		s.dropSettled()
 		ofTeam, all = s.ClusterState.JobBytes(team)
 		isFull = full(room, ofTeam+s.reserved.teams[team], all+s.reserved.all)
@@ -59,7 +59,7 @@
 }
 
 // reservations is the room for jobs that this entry is writing or may have written, and that the cluster state
-// doesn't count yet. The zero value is empty.
+// doesn't count yet. Those that it does are dropped when room runs out. The zero value is empty.
 type reservations struct {
 	mu    sync.Mutex
 	jobs  map[string]*reservation // By the job's id.
--- a/internal/intake/service.go
+++ b/internal/intake/service.go
@@ -69,7 +69,7 @@
 	pending      pendingJobs
 	reserved     reservations
 	peerCalls    peerCalls
-	strangers    strangers
+	unregistered unregistered
 	store        storeProbe
 	lines        telemetry.CallLines
 }
--- a/internal/intake/strangers.go
+++ b/internal/intake/unregistered.go
@@ -11,33 +11,33 @@
 const (
 	// maxPeerName bounds what another process calls itself, a job or a team, in bytes.
 	maxPeerName = 1000
-	// maxStrangers bounds the entries that have called this one before it has read that they registered.
-	maxStrangers = 100
+	// maxUnregistered bounds the entries that have called this one before it has read that they registered.
+	maxUnregistered = 100
 )
 
-var refusedStrangers = metrics.NewCounter("sniperill_intake_strangers_refused_total")
+var refusedUnregistered = metrics.NewCounter("sniperill_intake_unregistered_refused_total")
 
-// strangers remembers the entries that have called before they were known to be registered. Whoever reaches the port
-// for other entries can make up names. The zero value is empty.
-type strangers struct {
+// unregistered remembers the entries that have called before they were known to be registered. Whoever reaches the
+// port for other entries can make up names. The zero value is empty.
+type unregistered struct {
 	mu    sync.Mutex
 	names map[string]bool
 }
 
-// admit reports whether a stranger is among the first maxStrangers.
-func (s *strangers) admit(name string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.names[name] {
+// admit reports whether an entry is among the first maxUnregistered.
+func (u *unregistered) admit(name string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.names[name] {
 		return true
 	}
-	if len(s.names) >= maxStrangers {
+	if len(u.names) >= maxUnregistered {
 		return false
 	}
-	if s.names == nil {
-		s.names = make(map[string]bool)
+	if u.names == nil {
+		u.names = make(map[string]bool)
 	}
-	s.names[name] = true
+	u.names[name] = true
 	return true
 }
 
@@ -46,12 +46,12 @@
 	if err := checkNames(name, incarnation); err != nil {
 		return err
 	}
-	if name == "" || s.ClusterState.HasEntry(name) || s.strangers.admit(name) {
+	if name == "" || s.ClusterState.HasEntry(name) || s.unregistered.admit(name) {
 		return nil
 	}
-	refusedStrangers.Inc()
-	s.callLog("").Warn().Str("peer", name).Int("limit", maxStrangers).Msg("Refused a call of an entry that has not registered.")
-	return connect.NewError(connect.CodeResourceExhausted, fmt.Errorf("entry %q has not registered, nor have %d others that called", name, maxStrangers))
+	refusedUnregistered.Inc()
+	s.callLog("").Warn().Str("peer", name).Int("limit", maxUnregistered).Msg("Refused a call of an entry that has not registered.")
+	return connect.NewError(connect.CodeResourceExhausted, fmt.Errorf("entry %q has not registered, nor have %d others that called", name, maxUnregistered))
 }
 
 // checkNames returns an error if a name in a call is longer than any that this system gives.
--- a/internal/intake/strangers_test.go
+++ b/internal/intake/unregistered_test.go
@@ -9,9 +9,9 @@
 )
 
 // Whoever reaches the port for other entries makes up names.
-func TestStrangersAreBounded(t *testing.T) {
+func TestUnregisteredEntriesAreBounded(t *testing.T) {
 	s := &Service{ClusterState: &clusterstate.State{}}
-	for i := range maxStrangers {
+	for i := range maxUnregistered {
 		if err := s.checkEntry(fmt.Sprint("entry-", i), "1"); err != nil {
 			t.Fatal(err)
 		}
