--- a/internal/intake/unregistered.go
+++ b/internal/intake/unregistered.go
@@ -17,7 +17,7 @@
 
 var refusedUnregistered = metrics.NewCounter("sniperill_intake_unregistered_refused_total")
 
-// unregistered remembers the entries that have called before they were known to be registered. Whoever reaches the
+// unregistered remembers the entries that have called before they were known to be registered. Any caller of the
 // port for other entries can make up names. The zero value is empty.
 type unregistered struct {
 	mu    sync.Mutex
--- a/internal/intake/unregistered_test.go
+++ b/internal/intake/unregistered_test.go
@@ -8,7 +8,7 @@
 	"sniperill.example/sniperill/internal/clusterstate"
 )
 
-// Whoever reaches the port for other entries makes up names.
+// Load pattern: a caller of the port for other entries makes up names.
 func TestUnregisteredEntriesAreBounded(t *testing.T) {
 	s := &Service{ClusterState: &clusterstate.State{}}
 	for i := range maxUnregistered {
