--- /dev/null
+++ b/review/.stand-2/cases.go
@@ -0,0 +1,374 @@
+package main
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+)
+
+const host = "shop.example"
+
+// deployment starts entries and workers of 8 accelerators, and waits until they are ready.
+func (w *world) deployment(entries, workers int, config map[string]any, labels func(i int) []string) error {
+	w.configure(config)
+	if err := w.addEntries(entries); err != nil {
+		return err
+	}
+	for i := range workers {
+		if _, err := w.addWorker("apron-orders", resources{32000, 128000, 8}, labels(i)...); err != nil {
+			return err
+		}
+	}
+	return w.ready()
+}
+
+func sameLabels(i int) []string { return []string{"a", fmt.Sprintf("r1-%d", 1+i/3)} }
+
+// until waits for a condition, and reports whether it came true in time.
+func until(timeout time.Duration, f func() bool) bool {
+	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if f() {
+			return true
+		}
+	}
+	return false
+}
+
+// gangCase: the worker on which a gang first starts fails all that it starts for 6 s, so the gang's first run fails. The
+// planner's process is killed between the ends of the two members. The queue allows two attempts.
+func gangCase(w *world, trouble bool) error {
+	const path, grey = "/render/", 6 * time.Second
+	if err := w.deployment(3, 7, configuration(route("render", path, 1, 2)), sameLabels); err != nil {
+		return err
+	}
+	id := newID()
+	first, second := taskName(id, 0, 0), taskName(id, 0, 1)
+	if trouble {
+		var once sync.Once
+		for _, e := range w.workers {
+			e.stopMS = int(stopTimeout.Milliseconds()) - 20
+			e.fails = func(task string, _ int) time.Duration {
+				begun := w.starts(first)
+				switch {
+				case len(begun) == 0 || begun[0].worker != e.name || time.Since(w.began)-begun[0].at > grey:
+					return 0
+				case task == first:
+					return 300 * time.Millisecond
+				default:
+					return 600 * time.Millisecond
+				}
+			}
+			e.onStop = func(task string, number int) {
+				once.Do(func() {
+					for _, p := range w.entries {
+						if p.name == w.newestPlanner() {
+							p.kill()
+						}
+					}
+				})
+			}
+		}
+	}
+	if !w.submit(host, path, id, "key-buyers", step{Count: 2, CPU: 8000, MemMB: 16000, GPUs: 4, EstimatedMS: 2000, Gang: true, workMS: 2000}) {
+		return fmt.Errorf("the job was not accepted")
+	}
+	var state string
+	until(40*time.Second, func() bool {
+		time.Sleep(500 * time.Millisecond)
+		_, state = w.state(host, path, id, "key-buyers")
+		return state == "failed" || state == "completed"
+	})
+	failedRuns := make(map[int]bool)
+	for _, end := range append(w.ends(first), w.ends(second)...) {
+		if end.how == "failed" {
+			failedRuns[end.run] = true
+		}
+	}
+	w.note("the job is shown as %q; runs of the gang that failed: %d; attempts allowed: 2", state, len(failedRuns))
+	switch {
+	case state == "failed" && len(failedRuns) < 2:
+		w.broken("LOST: the job is shown as failed after %d failed run of its gang, though 2 are allowed", len(failedRuns))
+	case state != "completed":
+		return fmt.Errorf("the job is %q after 40 s", state)
+	}
+	return nil
+}
+
+// idsCase: two tenants choose the same id for their jobs, in different queues.
+func idsCase(w *world, trouble bool) error {
+	const render, fit = "/render/", "/fit/"
+	if err := w.deployment(2, 2, configuration(route("render", render, 1, 3), route("fit", fit, 0, 4)), sameLabels); err != nil {
+		return err
+	}
+	s := step{Count: 1, CPU: 1000, MemMB: 1000, GPUs: 1, EstimatedMS: 1000, workMS: 1000}
+	id := "0000000000000001"
+	other := "0000000000000002"
+	if trouble {
+		other = id
+	}
+	if !w.submit(host, render, id, "key-buyers", s) {
+		return fmt.Errorf("the first job was not accepted")
+	}
+	time.Sleep(time.Second)
+	if !w.submit(host, fit, other, "key-floor", s) {
+		w.note("the second job is refused, which is allowed")
+		return nil
+	}
+	time.Sleep(visible + time.Second)
+	for _, p := range w.entries {
+		if status, _ := w.call(p, "GET", host, fit+other, "key-floor", nil); status == 410 {
+			w.broken("LOST: a GET for the second tenant's job, which was accepted %v before, is answered 410", visible+time.Second)
+			return nil
+		}
+	}
+	if n := len(w.starts(taskName(other, 0, 0))); n == 0 {
+		return fmt.Errorf("nothing ran")
+	}
+	return nil
+}
+
+// lateCase: a worker leaves the starts of a run unanswered; they arrive 11 s later. Meanwhile the run is given up and the
+// next one starts on another worker; then the first worker crashes and starts again under its id.
+func lateCase(w *world, trouble bool) error {
+	const path, late = "/plan/", 11 * time.Second
+	if err := w.deployment(3, 7, configuration(route("plan", path, 2, 4)), sameLabels); err != nil {
+		return err
+	}
+	s := step{Count: 1, CPU: 2000, MemMB: 8000, GPUs: 2, EstimatedMS: 12000, workMS: 12000}
+	id, other := newID(), newID()
+	task, otherTask := taskName(id, 0, 0), taskName(other, 0, 0)
+	var mu sync.Mutex
+	var hit *executor
+	if trouble {
+		for _, l := range w.links {
+			l.delay = func(t string, number int) time.Duration {
+				mu.Lock()
+				defer mu.Unlock()
+				switch {
+				case number != 1:
+					return 0
+				case t == task:
+					hit = l.to
+					return late
+				case t == otherTask && l.to == hit:
+					return 3 * time.Second
+				}
+				return 0
+			}
+		}
+	}
+	if !w.submit(host, path, id, "key-buyers", s) {
+		return fmt.Errorf("the job was not accepted")
+	}
+	submitted := time.Now()
+	if !trouble {
+		if !until(20*time.Second, func() bool { return len(w.ends(task)) > 0 }) {
+			return fmt.Errorf("the job's run doesn't end")
+		}
+		return w.checkTwice(task)
+	}
+	time.Sleep(4800 * time.Millisecond)
+	w.submit(host, path, other, "key-buyers", s)
+	if !until(9*time.Second, func() bool { return len(w.starts(task)) > 0 }) {
+		return fmt.Errorf("the second run didn't start")
+	}
+	second := w.starts(task)[0]
+	mu.Lock()
+	x := hit
+	mu.Unlock()
+	if second.worker == x.name {
+		return fmt.Errorf("the second run started on the same worker")
+	}
+	time.Sleep(700 * time.Millisecond)
+	x.crash()
+	time.Sleep(1500 * time.Millisecond)
+	if err := x.start(); err != nil {
+		return err
+	}
+	if time.Since(submitted) > late {
+		return fmt.Errorf("the worker started again too late")
+	}
+	time.Sleep(time.Until(submitted.Add(late + 12*time.Second)))
+	return w.checkTwice(task)
+}
+
+// checkTwice checks that no two runs of a subtask were there at the same time.
+func (w *world) checkTwice(task string) error {
+	running := make(map[string]bool)
+	w.mu.Lock()
+	history := append([]happening{}, w.history...)
+	w.mu.Unlock()
+	for _, h := range history {
+		if h.task != task {
+			continue
+		}
+		name := fmt.Sprintf("run %d on %s", h.run, h.worker)
+		if h.how != "" {
+			delete(running, name)
+			continue
+		}
+		running[name] = true
+		if len(running) > 1 {
+			var names []string
+			for n := range running {
+				names = append(names, n)
+			}
+			sort.Strings(names)
+			w.broken("TWICE: at %.3f s two runs of %s at the same time: %s", h.at.Seconds(), task, strings.Join(names, ", "))
+			return nil
+		}
+	}
+	return nil
+}
+
+// lastingCase: the subtasks of two long-running jobs fail some seconds after each of their first starts, as they may at
+// any time, and then no more. A third long-running job fills the third worker.
+func lastingCase(w *world, trouble bool) error {
+	const path, failingRuns = "/serve/", 4
+	if err := w.deployment(3, 3, configuration(route("serve", path, 0, 4)), sameLabels); err != nil {
+		return err
+	}
+	full, a, b := newID(), newID(), newID()
+	tasks := []string{taskName(a, 0, 0), taskName(b, 0, 0)}
+	if trouble {
+		for _, e := range w.workers {
+			e.fails = func(task string, number int) time.Duration {
+				switch {
+				case number > failingRuns:
+					return 0
+				case task == tasks[0]:
+					return 2000 * time.Millisecond
+				case task == tasks[1]:
+					return 2300 * time.Millisecond
+				}
+				return 0
+			}
+		}
+	}
+	lasting := func(gpus int) step {
+		return step{Count: 1, CPU: 1000 * gpus, MemMB: 8000, GPUs: gpus, LongRunning: true, Label: ""}
+	}
+	if !w.submit(host, path, full, "key-buyers", lasting(8)) || !until(5*time.Second, func() bool { return len(w.starts(taskName(full, 0, 0))) > 0 }) {
+		return fmt.Errorf("the first job doesn't run")
+	}
+	for _, id := range []string{a, b} {
+		if !w.submit(host, path, id, "key-floor", lasting(4)) {
+			return fmt.Errorf("a job was not accepted")
+		}
+	}
+	const after, span = 6 * time.Second, 3 * time.Second // From 6 s after its last run, for 3 s.
+	for end := time.Now().Add(70 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		settled := true
+		for _, task := range tasks {
+			if len(w.runningOn(task)) > 0 {
+				starts := w.starts(task)
+				settled = settled && time.Since(w.began)-starts[len(starts)-1].at > 10*time.Second
+				continue
+			}
+			settled = false
+			ends := w.ends(task)
+			if len(ends) == 0 {
+				continue
+			}
+			idle := time.Since(w.began) - ends[len(ends)-1].at
+			if free := w.freeAccelerators(); idle >= after+span && free >= 8 {
+				w.broken("LOST: for %.1f s after its last run nothing runs of %s, which lasts and needs 4 accelerators; %d are idle on workers without any disruption",
+					idle.Seconds(), task, free)
+				return nil
+			}
+		}
+		if settled {
+			return nil
+		}
+	}
+	return fmt.Errorf("the subtasks don't settle")
+}
+
+// freeAccelerators counts the accelerators of workers that have room for a task of four.
+func (w *world) freeAccelerators() int {
+	n := 0
+	for _, e := range w.workers {
+		e.mu.Lock()
+		free := e.capacity.GPUs
+		for _, r := range e.running {
+			free -= r.step.GPUs
+		}
+		e.mu.Unlock()
+		if free >= 4 {
+			n += free
+		}
+	}
+	return n
+}
+
+// pendingCase: one of ten workers refuses all starts as unhealthy for 6.5 s. Only it has the label that the jobs need.
+func pendingCase(w *world, trouble bool) error {
+	const path, jobs, workers = "/plan/", 6, 10
+	err := w.deployment(2, workers, configuration(route("plan", path, 0, 4)), func(i int) []string {
+		if i == workers-1 {
+			return []string{"b", "r1-4"}
+		}
+		return sameLabels(i)
+	})
+	if err != nil {
+		return err
+	}
+	special := w.workers[workers-1]
+	begin := time.Now()
+	if trouble {
+		special.refuse = func(string) int {
+			if time.Since(begin) < 6500*time.Millisecond {
+				return 503
+			}
+			return 0
+		}
+	}
+	work := 1000
+	if !trouble {
+		work = 9000 // So that half of the jobs wait for room.
+	}
+	gpus := 1
+	if !trouble {
+		gpus = 8
+	}
+	var tasks []string
+	for range jobs {
+		id := newID()
+		tasks = append(tasks, taskName(id, 0, 0))
+		if !w.submit(host, path, id, "key-buyers", step{Count: 1, CPU: 1000, MemMB: 1000, GPUs: gpus, EstimatedMS: work, Label: "b", workMS: work}) {
+			return fmt.Errorf("a job was not accepted")
+		}
+	}
+	time.Sleep(visible + 2*time.Second + 300*time.Millisecond)
+	for range 3 {
+		for _, p := range w.entries {
+			notBegun := 0
+			for _, task := range tasks {
+				if len(w.starts(task)) == 0 {
+					notBegun++
+				}
+			}
+			status, out := w.call(p, "GET", host, path, "key-buyers", nil)
+			pending, _ := out["pending"].(float64)
+			w.note("jobs that were accepted over 5 s ago and haven't begun: %d", notBegun)
+			if status == 200 && 2*int(pending) < notBegun {
+				w.broken("MIXED: %s gives %d jobs as pending; %d were accepted over %v ago and haven't begun", p.name, int(pending), notBegun, visible+2*time.Second)
+				return nil
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	if !until(70*time.Second, func() bool {
+		for _, task := range tasks {
+			if len(w.ends(task)) == 0 {
+				return false
+			}
+		}
+		return true
+	}) {
+		return fmt.Errorf("the jobs don't end")
+	}
+	return nil
+}
