review: case 6 with two workers and a kill at the write; case 8, guaranteed work never begins beside subtasks that last

Cause: subtasks that last are never preempted, not even within a guarantee. Case 6: the second failure is now on a worker of its own and needs no stop in progress.

--- a/review/.stand-2/cases.go
+++ b/review/.stand-2/cases.go
@@ -36,42 +36,46 @@
 	return false
 }
 
-// gangCase: the worker on which a gang first starts fails all that it starts for 6 s, so the gang's first run fails. The
-// planner's process is killed between the ends of the two members. The queue allows two attempts.
+// gangCase: the two workers on which a gang first starts fail all that they start for 6 s, so the gang's first run fails.
+// The planner's process is killed once it has stored the first member's end. The queue allows two attempts.
 func gangCase(w *world, trouble bool) error {
 	const path, grey = "/render/", 6 * time.Second
-	if err := w.deployment(3, 7, configuration(route("render", path, 1, 2)), sameLabels); err != nil {
+	if err := w.deployment(3, 14, configuration(route("render", path, 1, 2)), sameLabels); err != nil {
 		return err
 	}
 	id := newID()
-	first, second := taskName(id, 0, 0), taskName(id, 0, 1)
+	members := []string{taskName(id, 0, 0), taskName(id, 0, 1)}
 	if trouble {
-		var once sync.Once
 		for _, e := range w.workers {
 			e.stopMS = int(stopTimeout.Milliseconds()) - 20
 			e.fails = func(task string, _ int) time.Duration {
-				begun := w.starts(first)
-				switch {
-				case len(begun) == 0 || begun[0].worker != e.name || time.Since(w.began)-begun[0].at > grey:
-					return 0
-				case task == first:
-					return 300 * time.Millisecond
-				default:
-					return 600 * time.Millisecond
+				for i, member := range members {
+					begun := w.starts(member)
+					if len(begun) > 0 && begun[0].worker == e.name && time.Since(w.began)-begun[0].at < grey {
+						return time.Duration(300+300*i) * time.Millisecond
+					}
 				}
+				return 0
 			}
-			e.onStop = func(task string, number int) {
-				once.Do(func() {
-					for _, p := range w.entries {
-						if p.name == w.newestPlanner() {
-							p.kill()
-						}
-					}
-				})
+		}
+		var once sync.Once
+		planner := w.store.seen
+		w.store.seen = func(key string, value []byte) {
+			planner(key, value)
+			if key != "p/"+id || !strings.Contains(string(value), `"f":1`) {
+				return
 			}
+			once.Do(func() {
+				w.note("the planner stores %s", value)
+				for _, p := range w.entries {
+					if p.name == w.newestPlanner() {
+						p.kill()
+					}
+				}
+			})
 		}
 	}
-	if !w.submit(host, path, id, "key-buyers", step{Count: 2, CPU: 8000, MemMB: 16000, GPUs: 4, EstimatedMS: 2000, Gang: true, workMS: 2000}) {
+	if !w.submit(host, path, id, "key-buyers", step{Count: 2, CPU: 8000, MemMB: 16000, GPUs: 8, EstimatedMS: 2000, Gang: true, workMS: 2000}) {
 		return fmt.Errorf("the job was not accepted")
 	}
 	var state string
@@ -81,7 +85,7 @@
 		return state == "failed" || state == "completed"
 	})
 	failedRuns := make(map[int]bool)
-	for _, end := range append(w.ends(first), w.ends(second)...) {
+	for _, end := range append(w.ends(members[0]), w.ends(members[1])...) {
 		if end.how == "failed" {
 			failedRuns[end.run] = true
 		}
@@ -372,3 +376,88 @@
 	}
 	return nil
 }
+
+// rackCase: a job that lasts fills one of the three workers of each of four racks. A gang that is faster on one rack
+// needs three whole workers; eight are idle.
+func rackCase(w *world, trouble bool) error {
+	const path, racks, perRack, finish, span = "/plan/", 4, 3, 14 * time.Second, 3 * time.Second
+	rack := func(i int) string { return fmt.Sprintf("r1-%d", 1+i/perRack) }
+	err := w.deployment(3, racks*perRack, configuration(route("plan", path, 1, 4)), func(i int) []string { return []string{"a", rack(i)} })
+	if err != nil {
+		return err
+	}
+	if trouble {
+		for i := range racks {
+			id := newID()
+			if !w.submit(host, path, id, "key-floor", step{Count: 1, CPU: 8000, MemMB: 8000, GPUs: 8, LongRunning: true, DataRack: rack(i * perRack)}) ||
+				!until(5*time.Second, func() bool { return len(w.starts(taskName(id, 0, 0))) > 0 }) {
+				return fmt.Errorf("a job that lasts doesn't run")
+			}
+		}
+	}
+	id := newID()
+	if !w.submit(host, path, id, "key-buyers", step{Count: 3, CPU: 8000, MemMB: 8000, GPUs: 8, EstimatedMS: 2000, Gang: true, SameRack: true, workMS: 2000}) {
+		return fmt.Errorf("the job was not accepted")
+	}
+	end := time.Now() // Of the traffic.
+	begun := func() bool { return len(w.starts(taskName(id, 0, 0))) > 0 }
+	until(finish, begun)
+	w.state(host, path, id, "key-buyers")
+	if until(time.Until(end.Add(finish+span)), begun) || begun() {
+		return nil
+	}
+	w.state(host, path, id, "key-buyers")
+	idle := w.freeAccelerators()
+	w.broken("LOST: from %v to %v after the end of the traffic the job has nothing running; it needs 3 whole workers with 24 accelerators, "+
+		"%d workers with %d are idle, and %d of %d accelerators are in use", finish, finish+span, idle/8, idle, 8*racks, 8*racks*perRack)
+	if !until(60*time.Second, begun) {
+		w.note("the job has not begun 77 s after the end of the traffic either")
+	}
+	w.state(host, path, id, "key-buyers")
+	return nil
+}
+
+// reclaimCase: subtasks that last, of a tenant without a guarantee and of a lower priority, take all accelerators. Then a
+// tenant hands in a job of priority 0 within its guarantee.
+func reclaimCase(w *world, trouble bool) error {
+	const serve, fit, workers, reclaim = "/serve/", "/fit/", 3, 2900 * time.Millisecond
+	config := configuration(route("serve", serve, 1, 4), route("fit", fit, 0, 4))
+	config["tenants"] = []any{
+		map[string]any{"name": "buyers", "api_keys": []string{"key-buyers"}, "guaranteed": map[string]any{"gpus": 8}},
+		map[string]any{"name": "floor", "api_keys": []string{"key-floor"}, "guaranteed": map[string]any{"gpus": 0}},
+	}
+	if err := w.deployment(3, workers, config, sameLabels); err != nil {
+		return err
+	}
+	other := newID()
+	filling := step{Count: workers, CPU: 8000, MemMB: 8000, GPUs: 8, LongRunning: trouble, workMS: 60_000}
+	if !trouble {
+		filling.EstimatedMS = 60_000
+	}
+	if !w.submit(host, serve, other, "key-floor", filling) || !until(15*time.Second, func() bool {
+		n := 0
+		for i := range workers {
+			n += len(w.starts(taskName(other, 0, i)))
+		}
+		return n >= workers
+	}) {
+		return fmt.Errorf("the first job doesn't take all workers")
+	}
+	time.Sleep(contact)
+	id := newID()
+	if !w.submit(host, fit, id, "key-buyers", step{Count: 1, CPU: 2000, MemMB: 8000, GPUs: 8, EstimatedMS: 2000, workMS: 2000}) {
+		return fmt.Errorf("the job was not accepted")
+	}
+	accepted := time.Now()
+	begun := func() bool { return len(w.starts(taskName(id, 0, 0))) > 0 }
+	if until(reclaim, begun) {
+		w.note("it began after %v", time.Since(accepted).Round(10*time.Millisecond))
+		return nil
+	}
+	w.broken("RECLAIM: %v after its acknowledgement a job of priority 0 hasn't begun; it needs 8 accelerators, all that its tenant has handed in, and 8 are guaranteed to the tenant", reclaim)
+	if !until(60*time.Second, begun) {
+		w.note("it has not begun 60 s later either")
+	}
+	w.state(host, fit, id, "key-buyers")
+	return nil
+}
--- a/review/.stand-2/executor.go
+++ b/review/.stand-2/executor.go
@@ -32,6 +32,8 @@
 	Gang        bool   `json:"gang,omitempty"`
 	LongRunning bool   `json:"long_running,omitempty"`
 	Label       string `json:"requirements,omitempty"`
+	DataRack    string `json:"data_rack,omitempty"`
+	SameRack    bool   `json:"same_rack,omitempty"`
 	workMS      int
 }
 
--- a/review/.stand-2/main.go
+++ b/review/.stand-2/main.go
@@ -15,7 +15,7 @@
 type caseFunc func(w *world, trouble bool) error
 
 var cases = map[string]caseFunc{
-	"gang": gangCase, "ids": idsCase, "late": lateCase, "lasting": lastingCase, "pending": pendingCase,
+	"gang": gangCase, "ids": idsCase, "late": lateCase, "lasting": lastingCase, "pending": pendingCase, "rack": rackCase, "reclaim": reclaimCase,
 }
 
 func main() { os.Exit(play()) }
