review: case 7 with the agent's own repeat, case 9, a gang that is kept to one rack never starts

Cause of 7: a start call without an answer is left open once its repeat was answered and the run has ended. Cause of 9: a gang that is faster on one rack waits for a rack as long as one would have room when empty. Change: scripts and claims.

--- a/review/.stand-2/cases.go
+++ b/review/.stand-2/cases.go
@@ -420,8 +420,27 @@
 // reclaimCase: subtasks that last, of a tenant without a guarantee and of a lower priority, take all accelerators. Then a
 // tenant hands in a job of priority 0 within its guarantee.
 func reclaimCase(w *world, trouble bool) error {
+	filling := step{Count: 3, CPU: 8000, MemMB: 8000, GPUs: 8, LongRunning: trouble, workMS: 60_000}
+	if !trouble {
+		filling.EstimatedMS = 60_000
+	}
+	return w.reclaim(1, filling)
+}
+
+// coresCase: subtasks that need cores only, of a tenant without a guarantee and of priority 0, take all cores for a minute.
+// Then a tenant hands in a job of priority 0 within its guarantee.
+func coresCase(w *world, trouble bool) error {
+	filling := step{Count: 3, CPU: 32000, MemMB: 8000, EstimatedMS: 60_000, workMS: 60_000}
+	if !trouble {
+		filling.GPUs = 1
+	}
+	return w.reclaim(0, filling)
+}
+
+// reclaim fills all workers with a tenant's job of one step, and then hands in another tenant's job within its guarantee.
+func (w *world) reclaim(priority int, filling step) error {
 	const serve, fit, workers, reclaim = "/serve/", "/fit/", 3, 2900 * time.Millisecond
-	config := configuration(route("serve", serve, 1, 4), route("fit", fit, 0, 4))
+	config := configuration(route("serve", serve, priority, 4), route("fit", fit, 0, 4))
 	config["tenants"] = []any{
 		map[string]any{"name": "buyers", "api_keys": []string{"key-buyers"}, "guaranteed": map[string]any{"gpus": 8}},
 		map[string]any{"name": "floor", "api_keys": []string{"key-floor"}, "guaranteed": map[string]any{"gpus": 0}},
@@ -430,10 +449,6 @@
 		return err
 	}
 	other := newID()
-	filling := step{Count: workers, CPU: 8000, MemMB: 8000, GPUs: 8, LongRunning: trouble, workMS: 60_000}
-	if !trouble {
-		filling.EstimatedMS = 60_000
-	}
 	if !w.submit(host, serve, other, "key-floor", filling) || !until(15*time.Second, func() bool {
 		n := 0
 		for i := range workers {
@@ -454,10 +469,63 @@
 		w.note("it began after %v", time.Since(accepted).Round(10*time.Millisecond))
 		return nil
 	}
-	w.broken("RECLAIM: %v after its acknowledgement a job of priority 0 hasn't begun; it needs 8 accelerators, all that its tenant has handed in, and 8 are guaranteed to the tenant", reclaim)
+	w.broken("RECLAIM: %v after its acknowledgement a job of priority 0 hasn't begun; it needs 8 accelerators, its tenant has handed in nothing else, and 8 are guaranteed to the tenant", reclaim)
 	if !until(60*time.Second, begun) {
 		w.note("it has not begun 60 s later either")
 	}
 	w.state(host, fit, id, "key-buyers")
 	return nil
 }
+
+// againCase: the first start of a run gets no answer and arrives 6 s later. The agent's repeat is answered, the run ends
+// done, and its end is taken note of. Then the worker crashes and starts again under its id.
+func againCase(w *world, trouble bool) error {
+	const path, late = "/plan/", 6 * time.Second
+	if err := w.deployment(3, 7, configuration(route("plan", path, 2, 4)), sameLabels); err != nil {
+		return err
+	}
+	id := newID()
+	task := taskName(id, 0, 0)
+	if trouble {
+		var once sync.Once
+		for _, l := range w.links {
+			l.delay = func(t string, _ int) (d time.Duration) {
+				if t == task {
+					once.Do(func() { d = late })
+				}
+				return d
+			}
+		}
+	}
+	submitted := time.Now()
+	if !w.submit(host, path, id, "key-buyers", step{Count: 1, CPU: 2000, MemMB: 8000, GPUs: 2, EstimatedMS: 1500, workMS: 1500}) {
+		return fmt.Errorf("the job was not accepted")
+	}
+	noted := func() bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return w.acked[task+"/1/done"]
+	}
+	if !until(4*time.Second, noted) {
+		return fmt.Errorf("the end of the run was not taken note of in time")
+	}
+	if !trouble {
+		return nil
+	}
+	for _, e := range w.workers {
+		if e.name == w.starts(task)[0].worker {
+			e.crash()
+			time.Sleep(1500 * time.Millisecond)
+			if err := e.start(); err != nil {
+				return err
+			}
+		}
+	}
+	w.state(host, path, id, "key-buyers")
+	time.Sleep(time.Until(submitted.Add(late + 3*time.Second)))
+	if starts := w.starts(task); len(starts) > 1 {
+		w.broken("TWICE: at %.3f s run %d of %s starts again on %s, though it had ended done and that had been taken note of",
+			starts[1].at.Seconds(), starts[1].run, task, starts[1].worker)
+	}
+	return nil
+}
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/sniperill ] && [ -x target/review-2 ] || { echo "build first: the build line of deploy/system.toml and review/build-2.sh" >&2; exit 2; }
-exec target/review-2 lasting review/9/record.txt
+exec target/review-2 rack review/9/record.txt
