review: a job whose run vanishes, shown but no case

Cause: a late look drops an end in the worker's next lifetime, and nothing notices a run that is no longer listed. Change: a scenario of the stand-ins, and a line in the report.

--- a/review/.stand-2/cases.go
+++ b/review/.stand-2/cases.go
@@ -529,3 +529,74 @@
 	}
 	return nil
 }
+
+// vanishCase: a look that acknowledges five ends gets no answer and arrives 5.8 s later. The worker crashes meanwhile and
+// starts again under its id. A run ends there while two more looks get no answer, so that the late one drops its end.
+func vanishCase(w *world, trouble bool) error {
+	const path, late, finish, span = "/plan/", 5800 * time.Millisecond, 14 * time.Second, 3 * time.Second
+	err := w.deployment(3, 7, configuration(route("plan", path, 1, 4)), func(i int) []string {
+		if i == 0 {
+			return []string{"b", "r1-1"}
+		}
+		return sameLabels(i)
+	})
+	if err != nil {
+		return err
+	}
+	first, second := newID(), newID()
+	if !w.submit(host, path, first, "key-buyers", step{Count: 5, CPU: 1000, MemMB: 1000, GPUs: 1, EstimatedMS: 300, Label: "b", workMS: 300}) {
+		return fmt.Errorf("the first job was not accepted")
+	}
+	if !until(10*time.Second, func() bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return len(w.acked) == 5
+	}) {
+		return fmt.Errorf("the ends of the first job were not taken note of")
+	}
+	e, l := w.workers[0], w.links[0]
+	var mu sync.Mutex
+	var held time.Time
+	l.delayHold = func(lastSeen int64) time.Duration {
+		mu.Lock()
+		defer mu.Unlock()
+		switch since := time.Since(held); {
+		case !trouble:
+		case held.IsZero() && lastSeen == 5:
+			held = time.Now()
+			return late
+		case !held.IsZero() && since > 4*time.Second && since < late+100*time.Millisecond:
+			return 2500 * time.Millisecond
+		}
+		return 0
+	}
+	if trouble {
+		if !until(5*time.Second, func() bool { mu.Lock(); defer mu.Unlock(); return !held.IsZero() }) {
+			return fmt.Errorf("there was no look")
+		}
+		e.crash()
+		time.Sleep(1500 * time.Millisecond)
+		if err := e.start(); err != nil {
+			return err
+		}
+	}
+	if !w.submit(host, path, second, "key-buyers", step{Count: 1, CPU: 1000, MemMB: 1000, GPUs: 1, EstimatedMS: 3000, Label: "b", workMS: 3000}) {
+		return fmt.Errorf("the second job was not accepted")
+	}
+	end := time.Now() // Of the traffic.
+	task := taskName(second, 0, 0)
+	time.Sleep(time.Until(end.Add(finish)))
+	for time.Now().Before(end.Add(finish + span)) {
+		if len(w.runningOn(task)) > 0 {
+			return fmt.Errorf("it runs")
+		}
+		if _, state := w.state(host, path, second, "key-buyers"); state == "completed" {
+			return nil
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	w.broken("LOST: from %v to %v after the end of the traffic the job has nothing running and isn't done; its worker is idle", finish, finish+span)
+	time.Sleep(40 * time.Second)
+	w.state(host, path, second, "key-buyers")
+	return nil
+}
--- a/review/.stand-2/executor.go
+++ b/review/.stand-2/executor.go
@@ -386,6 +386,8 @@
 	to *executor
 	// delay returns by how much a start is held up; zero if it isn't.
 	delay func(task string, run int) time.Duration
+	// delayHold is the same for a look that acknowledges the ends up to a number.
+	delayHold func(lastSeen int64) time.Duration
 }
 
 func (l *link) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -401,26 +403,19 @@
 		req.Header = r.Header.Clone()
 		return http.DefaultClient.Do(req)
 	}
-	if strings.HasSuffix(r.URL.Path, "/run-start") && l.delay != nil {
-		var m struct {
-			Task string `json:"task"`
-			Run  int    `json:"run"`
-		}
-		_ = json.Unmarshal(body, &m)
-		if d := l.delay(m.Task, m.Run); d > 0 {
-			l.w.note("start of %s run %d to %s gets no answer; it arrives %v later", m.Task, m.Run, l.to.name, d)
-			time.AfterFunc(d, func() {
-				resp, err := forward(context.Background())
-				if err != nil {
-					l.w.note("late start of %s run %d: %v", m.Task, m.Run, err)
-					return
-				}
-				_ = resp.Body.Close()
-				l.w.note("late start of %s run %d arrived at %s: %d", m.Task, m.Run, l.to.name, resp.StatusCode)
-			})
-			<-r.Context().Done()
-			panic(http.ErrAbortHandler)
-		}
+	if d, what := l.heldUp(r.URL.Path, body); d > 0 {
+		l.w.note("%s to %s gets no answer; it arrives %v later", what, l.to.name, d)
+		time.AfterFunc(d, func() {
+			resp, err := forward(context.Background())
+			if err != nil {
+				l.w.note("late %s: %v", what, err)
+				return
+			}
+			_ = resp.Body.Close()
+			l.w.note("late %s arrived at %s: %d", what, l.to.name, resp.StatusCode)
+		})
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
 	}
 	resp, err := forward(r.Context())
 	if err != nil {
@@ -432,4 +427,21 @@
 	_, _ = io.Copy(w, resp.Body)
 }
 
+// heldUp returns by how much a call is held up, and what it is.
+func (l *link) heldUp(path string, body []byte) (time.Duration, string) {
+	var m struct {
+		Task     string `json:"task"`
+		Run      int    `json:"run"`
+		LastSeen int64  `json:"last_seen"`
+	}
+	_ = json.Unmarshal(body, &m)
+	switch {
+	case strings.HasSuffix(path, "/run-start") && l.delay != nil:
+		return l.delay(m.Task, m.Run), fmt.Sprintf("start of %s run %d", m.Task, m.Run)
+	case strings.HasSuffix(path, "/hold") && l.delayHold != nil:
+		return l.delayHold(m.LastSeen), fmt.Sprintf("look with last_seen %d", m.LastSeen)
+	}
+	return 0, ""
+}
+
 func taskName(id string, step, index int) string { return fmt.Sprintf("%s.0.%d.%d", id, step, index) }
--- a/review/.stand-2/main.go
+++ b/review/.stand-2/main.go
@@ -15,7 +15,7 @@
 type caseFunc func(w *world, trouble bool) error
 
 var cases = map[string]caseFunc{
-	"gang": gangCase, "ids": idsCase, "late": lateCase, "again": againCase, "lasting": lastingCase, "pending": pendingCase, "rack": rackCase, "reclaim": reclaimCase, "cores": coresCase,
+	"gang": gangCase, "ids": idsCase, "late": lateCase, "again": againCase, "vanish": vanishCase, "lasting": lastingCase, "pending": pendingCase, "rack": rackCase, "reclaim": reclaimCase, "cores": coresCase,
 }
 
 func main() { os.Exit(play()) }
