review: cases 6 and 7 at the site file's doses

Cause: 2 of 14 workers and one of two start calls were within kinds' doses, but over those of the site file. Change: 20 workers in case 6, twenty more start calls in case 7.

--- a/review/.stand-2/cases.go
+++ b/review/.stand-2/cases.go
@@ -40,7 +40,7 @@
 // The planner's process is killed once it has stored the first member's end. The queue allows two attempts.
 func gangCase(w *world, trouble bool) error {
 	const path, grey = "/render/", 6 * time.Second
-	if err := w.deployment(3, 14, configuration(route("render", path, 1, 2)), sameLabels); err != nil {
+	if err := w.deployment(3, 20, configuration(route("render", path, 1, 2)), sameLabels); err != nil {
 		return err
 	}
 	id := newID()
@@ -497,6 +497,10 @@
 			}
 		}
 	}
+	// Another job, so that one order of over twenty is late.
+	if !w.submit(host, path, newID(), "key-floor", step{Count: 20, CPU: 100, MemMB: 100, EstimatedMS: 300, workMS: 300}) {
+		return fmt.Errorf("the other job was not accepted")
+	}
 	submitted := time.Now()
 	if !w.submit(host, path, id, "key-buyers", step{Count: 1, CPU: 2000, MemMB: 8000, GPUs: 2, EstimatedMS: 1500, workMS: 1500}) {
 		return fmt.Errorf("the job was not accepted")
