dispatch: a failed run of a gang counts once across planners

Cause: which run of a gang had been counted as a failure was kept in unitState, which isn't stored. A planner that took over between the ends of two members counted the second one as the failure of another run.

Change: a gang's record has the run that its failures count up to ("x"). An earlier version ignores the field and leaves it out; a run of which some members have ended counts as counted then, as a failure too many ends a job for good. "A run is over." logs the run.

--- a/internal/clusterstate/block.go
+++ b/internal/clusterstate/block.go
@@ -218,7 +218,9 @@
 				places[i] = [2]string{string(place[0]), string(place[1])}
 			}
 		}
-		out := UnitProgress{Run: u.run, Failures: u.failures, Done: u.done, Checkpoint: string(u.checkpoint)}
+		out := UnitProgress{
+			Run: u.run, Failures: u.failures, FailedRun: u.failedRun, Done: u.done, Checkpoint: string(u.checkpoint),
+		}
 		for _, m := range u.members {
 			out.Members = append(out.Members, Member{Index: m[0], AgentName: places[m[1]][0], Lifetime: places[m[1]][1]})
 		}
--- a/internal/clusterstate/progress.go
+++ b/internal/clusterstate/progress.go
@@ -74,14 +74,30 @@
 // UnitProgress is the progress of a unit. It is immutable: a change replaces it.
 type UnitProgress struct {
 	// Run is the number of the newest run; zero before the first.
-	Run        int
-	Failures   int
+	Run      int
+	Failures int
+	// FailedRun is, for a gang, the newest run that Failures counts; zero if there is none, or if an earlier version
+	// stored the unit.
+	FailedRun  int
 	Done       bool
 	Checkpoint string
 	// Members of the newest run that may still be running.
 	Members []Member
 }
 
+// WithFailedRun returns the progress of a gang of a given size with its FailedRun set. Earlier versions don't store it.
+// If members of the newest run have ended then, that run may be one that Failures counts, and is taken as such: a
+// failure that counts twice can end the job, one that doesn't count allows it one more run.
+func (u UnitProgress) WithFailedRun(size int) UnitProgress {
+	if u.Failures > 0 && u.FailedRun == 0 {
+		u.FailedRun = u.Run
+		if len(u.Members) == size {
+			u.FailedRun = max(0, u.Run-1)
+		}
+	}
+	return u
+}
+
 // Progress is what the planner has decided and learned about a job.
 type Progress struct {
 	// State is the job's final state, empty until then.
@@ -124,14 +140,15 @@
 
 // checkUnit returns an error if a unit can't be that of a job: another writer may have left it, and the planner
 // indexes the job's steps by its units.
-func checkUnit(j *workflow.Job, k UnitKey, run, failures int) error {
+func checkUnit(j *workflow.Job, k UnitKey, run, failures, failedRun int) error {
 	if k.Occurrence < 0 || k.Occurrence >= j.Occurrences() || k.Step < 0 || k.Step >= len(j.Steps) {
 		return fmt.Errorf("%w: unit %v of a job with %d steps", errOther, k, len(j.Steps))
 	}
 	step := &j.Steps[k.Step]
 	if step.Gang != k.IsGang() || k.Index < gangIndex || k.Index >= step.Count ||
-		run < 0 || run > maxRuns || failures < 0 || failures > maxRuns {
-		return fmt.Errorf("%w: unit %v with run %d and %d failures of a step with %d tasks", errOther, k, run, failures, step.Count)
+		run < 0 || run > maxRuns || failures < 0 || failures > maxRuns || failedRun < 0 || failedRun > run {
+		return fmt.Errorf("%w: unit %v with run %d and %d failures up to run %d of a step with %d tasks",
+			errOther, k, run, failures, failedRun, step.Count)
 	}
 	return nil
 }
@@ -149,7 +166,7 @@
 
 // check returns an error if the unit with a key can't be that of the job.
 func (u UnitProgress) check(j *workflow.Job, k UnitKey) error {
-	if err := checkUnit(j, k, u.Run, u.Failures); err != nil {
+	if err := checkUnit(j, k, u.Run, u.Failures, u.FailedRun); err != nil {
 		return err
 	}
 	for _, m := range u.Members {
@@ -162,7 +179,7 @@
 
 // check returns an error if the unit can't be one in a block of the job.
 func (u *scannedUnit) check(head *scannedProgress, j *workflow.Job, n int) error {
-	if err := checkUnit(j, u.key, u.run, u.failures); err != nil {
+	if err := checkUnit(j, u.key, u.run, u.failures, u.failedRun); err != nil {
 		return err
 	}
 	for _, m := range u.members {
@@ -189,6 +206,7 @@
 	Key        [3]int   `json:"k"`
 	Run        int      `json:"r"`
 	Failures   int      `json:"f,omitempty"`
+	FailedRun  int      `json:"x,omitempty"`
 	Done       bool     `json:"d,omitempty"`
 	Checkpoint string   `json:"c,omitempty"`
 	Members    [][2]int `json:"m,omitempty"` // Task index and index into Places.
@@ -203,7 +221,7 @@
 		u := p.Units[k]
 		r := unitRecord{
 			Key: [3]int{k.Occurrence, k.Step, k.Index}, Run: u.Run,
-			Failures: u.Failures, Done: u.Done, Checkpoint: u.Checkpoint,
+			Failures: u.Failures, FailedRun: u.FailedRun, Done: u.Done, Checkpoint: u.Checkpoint,
 		}
 		for _, m := range u.Members {
 			place := [2]string{m.AgentName, m.Lifetime}
@@ -228,7 +246,7 @@
 	}
 	*p = Progress{State: in.State, Split: in.Split, Units: make(map[UnitKey]UnitProgress, len(in.Units))}
 	for _, r := range in.Units {
-		u := UnitProgress{Run: r.Run, Failures: r.Failures, Done: r.Done, Checkpoint: r.Checkpoint}
+		u := UnitProgress{Run: r.Run, Failures: r.Failures, FailedRun: r.FailedRun, Done: r.Done, Checkpoint: r.Checkpoint}
 		for _, m := range r.Members {
 			if m[1] < 0 || m[1] >= len(in.Places) {
 				return fmt.Errorf("clusterstate: place %d of unit %v does not exist", m[1], r.Key)
--- a/internal/clusterstate/scan.go
+++ b/internal/clusterstate/scan.go
@@ -15,11 +15,11 @@
 
 // scannedUnit is a unit in encoded progress. Its slices are valid until the next one is read.
 type scannedUnit struct {
-	key           UnitKey
-	run, failures int
-	done          bool
-	checkpoint    []byte
-	members       [][2]int // Task index and index into the places.
+	key                      UnitKey
+	run, failures, failedRun int
+	done                     bool
+	checkpoint               []byte
+	members                  [][2]int // Task index and index into the places.
 }
 
 // scannedProgress is what precedes the units in encoded progress.
@@ -82,6 +82,9 @@
 	if s.accept(`,"f":`) {
 		u.failures = s.number()
 	}
+	if s.accept(`,"x":`) {
+		u.failedRun = s.number()
+	}
 	u.done = s.accept(`,"d":true`)
 	if s.accept(`,"c":`) {
 		u.checkpoint = s.text()
--- a/internal/clusterstate/state_test.go
+++ b/internal/clusterstate/state_test.go
@@ -138,6 +138,8 @@
 		{"a negative run", "p/a", `{"units":[{"k":[0,0,0],"r":-1}]}`},
 		{"a run that none follows", "p/a", `{"units":[{"k":[0,0,0],"r":9223372036854775807}]}`},
 		{"failures that none follows", "p/a", `{"units":[{"k":[0,0,0],"r":1,"f":9223372036854775807}]}`},
+		{"a failed run that is negative", "p/a", `{"units":[{"k":[0,0,0],"r":1,"f":1,"x":-1}]}`},
+		{"a failed run that is to come", "p/a", `{"units":[{"k":[0,0,0],"r":1,"f":1,"x":2}]}`},
 		{"a run that overflows", "p/a", `{"units":[{"k":[0,0,0],"r":` + digits + `}]}`},
 		{"progress nested deeply", "p/a", `{"units":` + deep},
 		{"no address", "w/x", `{"name":"x"}`},
@@ -285,7 +287,7 @@
 
 func TestProgressRoundTrip(t *testing.T) {
 	want := claimedProgress(3, 5)
-	want.Units[clusterstate.GangKey(1, 2)] = clusterstate.UnitProgress{Run: 2, Failures: 1, Done: true}
+	want.Units[clusterstate.GangKey(1, 2)] = clusterstate.UnitProgress{Run: 2, Failures: 1, FailedRun: 1, Done: true}
 	data, err := want.MarshalJSON()
 	if err != nil {
 		t.Fatal(err)
@@ -325,6 +327,7 @@
 		`{"units":[{"k":[0,0,1],"r":-0}]}`, `{"units":[{"k":[0,0,1],"r":01}]}`, `{"units":[{"k":[0,0,1],"r":999999999999999999}]}`,
 		`{"units":[{"k":[0,0,1],"r":9999999999999999999}]}`, `{"units":[{"k":[0,0,1],"r":1,"c":"a\\u0062"}]}`, `{"units":[{"k":[0,0,1],"r":1,"c":"a` + "\xff" + `"}]}`,
 		`{"places":[["","l"]],"units":[{"k":[0,0,1],"r":1,"m":[[1,0]]}]}`, `{"units":[{"k":[0,0,1],"r":1,"m":[[1,0]]}]}`, `{"units":[{"k":[0,0,1],"r":1}]}}`,
+		`{"units":[{"k":[0,1,-1],"r":2,"f":1,"x":2}]}`, `{"units":[{"k":[0,1,-1],"r":2,"f":1,"x":3}]}`, `{"units":[{"k":[0,1,-1],"r":2,"x":1,"f":1}]}`,
 		`{"split":true,"units":[{"k":[0,2,80],"r":1}]}`, `{"units":[{"k":[0,2,80],"r":1}]}`, `{"units":[{"k":[0,0,1],"r":1}`, `{"units":[{"k":[0,0,1],"r":1},]}`,
 	} {
 		f.Add("p/a", []byte(value))
--- a/internal/dispatch/active.go
+++ b/internal/dispatch/active.go
@@ -261,6 +261,9 @@
 func (ap *activePlanner) adopt(stored *clusterstate.Job) {
 	j := ap.addJob(stored, math.MaxInt64)
 	for key, u := range j.progress.Units {
+		if key.IsGang() {
+			j.progress.Units[key] = u.WithFailedRun(j.spec.Steps[key.Step].Count)
+		}
 		for _, m := range u.Members {
 			ap.addMember(j, key, m, u.Run, adopted)
 		}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -40,7 +40,6 @@
 // unitState is what the planner knows of a unit in addition to its progress. It is not stored.
 type unitState struct {
 	readySince        time.Time // Since when it has been waiting; zero if it isn't.
-	lastFailedRun     int       // The newest run that was counted as a failure.
 	avoidLifetime     string    // Lifetime of the worker on which it last failed or got stuck.
 	avoidUntil        time.Time // From then on that worker is used if no other has room.
 	startedAt         clock.Instant
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -140,7 +140,7 @@
 	}
 	j.setUnit(m.key, u)
 	ap.Log.Info().Str("task", m.task).Int("run", m.run).Str("node", m.worker.name).Str("lifetime", m.lifetime).
-		Int("end", int(end)).Str("why", why).Int("failures", u.Failures).Msg("A run is over.")
+		Int("end", int(end)).Str("why", why).Int("failures", u.Failures).Int("failed_run", u.FailedRun).Msg("A run is over.")
 	if m.key.IsGang() && !u.Done {
 		ap.requestUnitStop(j, m.key)
 	}
@@ -154,11 +154,13 @@
 func (ap *activePlanner) countFailure(m *member, u *clusterstate.UnitProgress) {
 	state := m.job.unitState(m.key)
 	state.avoid(m.lifetime)
-	if state.lastFailedRun == m.run || m.step().Endless {
+	if m.step().Endless || m.key.IsGang() && u.FailedRun == m.run {
 		return
 	}
-	state.lastFailedRun = m.run
 	u.Failures++
+	if m.key.IsGang() {
+		u.FailedRun = m.run
+	}
 	if u.Failures < max(1, ap.currentQueue(m.job).MaxAttempts) || m.job.final() {
 		return
 	}
