dispatch: avoid all workers on which a unit has failed, across planners

Cause: the worker to avoid was kept in unitState, which isn't stored, and only the newest one. The successor saw only the ends that came under it.

Change: a unit's record has the members of its newest run that failed ("w"), until the next run is claimed. A planner that takes over avoids their workers for the usual two seconds, and all of them, not only the last.

Evidence: TestNextRunAvoidsFaultyWorkersAcrossPlanners failed for a gang without the takeover of these members ("a is failed, want done") and passes now.

--- a/internal/clusterstate/block.go
+++ b/internal/clusterstate/block.go
@@ -220,9 +220,7 @@
 		}
 		out := UnitProgress{
 			Run: u.run, Failures: u.failures, FailedRun: u.failedRun, Done: u.done, Checkpoint: string(u.checkpoint),
-		}
-		for _, m := range u.members {
-			out.Members = append(out.Members, Member{Index: m[0], AgentName: places[m[1]][0], Lifetime: places[m[1]][1]})
+			Members: decodeMembers(u.members, places), FailedMembers: decodeMembers(u.failedMembers, places),
 		}
 		units[u.key] = out
 		return nil
--- a/internal/clusterstate/failedrun_test.go
+++ b/internal/clusterstate/failedrun_test.go
@@ -45,7 +45,7 @@
 // Guards against a record that the version before can't read, or reads otherwise than this one.
 func TestFailedRunIsIgnoredByEarlierVersion(t *testing.T) {
 	key := clusterstate.GangKey(0, 0)
-	p := clusterstate.Progress{Units: units{key: {Run: 2, Failures: 1, FailedRun: 2, Members: members(1, 2)}}}
+	p := clusterstate.Progress{Units: units{key: {Run: 2, Failures: 1, FailedRun: 2, Members: members(1, 2), FailedMembers: members(0)}}}
 	data, err := json.Marshal(p)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/clusterstate/progress.go
+++ b/internal/clusterstate/progress.go
@@ -83,6 +83,9 @@
 	Checkpoint string
 	// Members of the newest run that may still be running.
 	Members []Member
+	// FailedMembers are those members of the newest run that failed, until the next run is claimed. Earlier versions
+	// don't store them.
+	FailedMembers []Member
 }
 
 // WithFailedRun returns the progress of a gang of a given size with its FailedRun set. Earlier versions don't store it.
@@ -169,7 +172,7 @@
 	if err := checkUnit(j, k, u.Run, u.Failures, u.FailedRun); err != nil {
 		return err
 	}
-	for _, m := range u.Members {
+	for _, m := range slices.Concat(u.Members, u.FailedMembers) {
 		if err := checkMember(j, k, m.Index, m.AgentName != ""); err != nil {
 			return err
 		}
@@ -182,9 +185,11 @@
 	if err := checkUnit(j, u.key, u.run, u.failures, u.failedRun); err != nil {
 		return err
 	}
-	for _, m := range u.members {
-		if err := checkMember(j, u.key, m[0], len(head.places[m[1]][0]) > 0); err != nil {
-			return err
+	for _, members := range [][][2]int{u.members, u.failedMembers} {
+		for _, m := range members {
+			if err := checkMember(j, u.key, m[0], len(head.places[m[1]][0]) > 0); err != nil {
+				return err
+			}
 		}
 	}
 	return checkBlock(j, u.key, n, head.split)
@@ -203,27 +208,22 @@
 const finalProgressPrefix = `{"state":`
 
 type unitRecord struct {
-	Key        [3]int   `json:"k"`
-	Run        int      `json:"r"`
-	Failures   int      `json:"f,omitempty"`
-	FailedRun  int      `json:"x,omitempty"`
-	Done       bool     `json:"d,omitempty"`
-	Checkpoint string   `json:"c,omitempty"`
-	Members    [][2]int `json:"m,omitempty"` // Task index and index into Places.
+	Key           [3]int   `json:"k"`
+	Run           int      `json:"r"`
+	Failures      int      `json:"f,omitempty"`
+	FailedRun     int      `json:"x,omitempty"`
+	Done          bool     `json:"d,omitempty"`
+	Checkpoint    string   `json:"c,omitempty"`
+	Members       [][2]int `json:"m,omitempty"` // Task index and index into Places.
+	FailedMembers [][2]int `json:"w,omitempty"` // The same.
 }
 
 // MarshalJSON encodes the progress in a compact form.
 func (p Progress) MarshalJSON() ([]byte, error) {
 	out := progressRecord{State: p.State, Split: p.Split}
 	places := make(map[[2]string]int)
-	keys := slices.SortedFunc(maps.Keys(p.Units), UnitKey.compare)
-	for _, k := range keys {
-		u := p.Units[k]
-		r := unitRecord{
-			Key: [3]int{k.Occurrence, k.Step, k.Index}, Run: u.Run,
-			Failures: u.Failures, FailedRun: u.FailedRun, Done: u.Done, Checkpoint: u.Checkpoint,
-		}
-		for _, m := range u.Members {
+	encode := func(members []Member) (list [][2]int) {
+		for _, m := range members {
 			place := [2]string{m.AgentName, m.Lifetime}
 			i, ok := places[place]
 			if !ok {
@@ -231,9 +231,18 @@
 				places[place] = i
 				out.Places = append(out.Places, place)
 			}
-			r.Members = append(r.Members, [2]int{m.Index, i})
+			list = append(list, [2]int{m.Index, i})
 		}
-		out.Units = append(out.Units, r)
+		return list
+	}
+	keys := slices.SortedFunc(maps.Keys(p.Units), UnitKey.compare)
+	for _, k := range keys {
+		u := p.Units[k]
+		out.Units = append(out.Units, unitRecord{
+			Key: [3]int{k.Occurrence, k.Step, k.Index}, Run: u.Run,
+			Failures: u.Failures, FailedRun: u.FailedRun, Done: u.Done, Checkpoint: u.Checkpoint,
+			Members: encode(u.Members), FailedMembers: encode(u.FailedMembers),
+		})
 	}
 	return json.Marshal(out)
 }
@@ -247,14 +256,21 @@
 	*p = Progress{State: in.State, Split: in.Split, Units: make(map[UnitKey]UnitProgress, len(in.Units))}
 	for _, r := range in.Units {
 		u := UnitProgress{Run: r.Run, Failures: r.Failures, FailedRun: r.FailedRun, Done: r.Done, Checkpoint: r.Checkpoint}
-		for _, m := range r.Members {
+		for _, m := range slices.Concat(r.Members, r.FailedMembers) {
 			if m[1] < 0 || m[1] >= len(in.Places) {
 				return fmt.Errorf("clusterstate: place %d of unit %v does not exist", m[1], r.Key)
 			}
-			place := in.Places[m[1]]
-			u.Members = append(u.Members, Member{Index: m[0], AgentName: place[0], Lifetime: place[1]})
 		}
+		u.Members, u.FailedMembers = decodeMembers(r.Members, in.Places), decodeMembers(r.FailedMembers, in.Places)
 		p.Units[UnitKey{r.Key[0], r.Key[1], r.Key[2]}] = u
 	}
 	return nil
 }
+
+// decodeMembers returns the members in a list of task indices and indices into places, all of which exist.
+func decodeMembers(list [][2]int, places [][2]string) (out []Member) {
+	for _, m := range list {
+		out = append(out, Member{Index: m[0], AgentName: places[m[1]][0], Lifetime: places[m[1]][1]})
+	}
+	return out
+}
--- a/internal/clusterstate/scan.go
+++ b/internal/clusterstate/scan.go
@@ -19,7 +19,7 @@
 	run, failures, failedRun int
 	done                     bool
 	checkpoint               []byte
-	members                  [][2]int // Task index and index into the places.
+	members, failedMembers   [][2]int // Task index and index into the places.
 }
 
 // scannedProgress is what precedes the units in encoded progress.
@@ -70,7 +70,7 @@
 
 // unit reads a unit whose members are at one of a number of places.
 func (s *scanner) unit(u *scannedUnit, places int) {
-	*u = scannedUnit{members: u.members[:0]}
+	*u = scannedUnit{members: u.members[:0], failedMembers: u.failedMembers[:0]}
 	s.expect(`{"k":[`)
 	u.key.Occurrence = s.number()
 	s.expect(",")
@@ -90,19 +90,28 @@
 		u.checkpoint = s.text()
 	}
 	if s.accept(`,"m":`) {
-		s.list(func() {
-			s.expect("[")
-			index := s.number()
-			s.expect(",")
-			place := s.number()
-			s.expect("]")
-			s.failed = s.failed || place < 0 || place >= places
-			u.members = append(u.members, [2]int{index, place})
-		})
+		u.members = s.members(u.members, places)
+	}
+	if s.accept(`,"w":`) {
+		u.failedMembers = s.members(u.failedMembers, places)
 	}
 	s.expect("}")
 }
 
+// members appends a list of members at one of a number of places.
+func (s *scanner) members(out [][2]int, places int) [][2]int {
+	s.list(func() {
+		s.expect("[")
+		index := s.number()
+		s.expect(",")
+		place := s.number()
+		s.expect("]")
+		s.failed = s.failed || place < 0 || place >= places
+		out = append(out, [2]int{index, place})
+	})
+	return out
+}
+
 // accept skips text if it comes next, and reports whether it does.
 func (s *scanner) accept(text string) bool {
 	if s.failed || len(s.data) < len(text) || string(s.data[:len(text)]) != text {
--- a/internal/clusterstate/state_test.go
+++ b/internal/clusterstate/state_test.go
@@ -138,6 +138,8 @@
 		{"a negative run", "p/a", `{"units":[{"k":[0,0,0],"r":-1}]}`},
 		{"a run that none follows", "p/a", `{"units":[{"k":[0,0,0],"r":9223372036854775807}]}`},
 		{"failures that none follows", "p/a", `{"units":[{"k":[0,0,0],"r":1,"f":9223372036854775807}]}`},
+		{"a failed member that doesn't exist", "p/a", `{"places":[["w","l"]],"units":[{"k":[0,0,0],"r":1,"w":[[4,0]]}]}`},
+		{"a failed member on no agent", "p/a", `{"places":[["","l"]],"units":[{"k":[0,0,0],"r":1,"w":[[0,0]]}]}`},
 		{"a failed run that is negative", "p/a", `{"units":[{"k":[0,0,0],"r":1,"f":1,"x":-1}]}`},
 		{"a failed run that is to come", "p/a", `{"units":[{"k":[0,0,0],"r":1,"f":1,"x":2}]}`},
 		{"a run that overflows", "p/a", `{"units":[{"k":[0,0,0],"r":` + digits + `}]}`},
@@ -288,6 +290,9 @@
 func TestProgressRoundTrip(t *testing.T) {
 	want := claimedProgress(3, 5)
 	want.Units[clusterstate.GangKey(1, 2)] = clusterstate.UnitProgress{Run: 2, Failures: 1, FailedRun: 1, Done: true}
+	want.Units[clusterstate.GangKey(0, 2)] = clusterstate.UnitProgress{
+		Run: 1, Failures: 1, FailedRun: 1, Members: members(0, 2), FailedMembers: members(1),
+	}
 	data, err := want.MarshalJSON()
 	if err != nil {
 		t.Fatal(err)
@@ -327,6 +332,8 @@
 		`{"units":[{"k":[0,0,1],"r":-0}]}`, `{"units":[{"k":[0,0,1],"r":01}]}`, `{"units":[{"k":[0,0,1],"r":999999999999999999}]}`,
 		`{"units":[{"k":[0,0,1],"r":9999999999999999999}]}`, `{"units":[{"k":[0,0,1],"r":1,"c":"a\\u0062"}]}`, `{"units":[{"k":[0,0,1],"r":1,"c":"a` + "\xff" + `"}]}`,
 		`{"places":[["","l"]],"units":[{"k":[0,0,1],"r":1,"m":[[1,0]]}]}`, `{"units":[{"k":[0,0,1],"r":1,"m":[[1,0]]}]}`, `{"units":[{"k":[0,0,1],"r":1}]}}`,
+		`{"places":[["n","l"],["m","k"]],"units":[{"k":[0,1,-1],"r":2,"f":1,"x":2,"m":[[0,0]],"w":[[1,1],[2,0]]},{"k":[1,0,0],"r":1,"f":1,"w":[[0,1]]}]}`,
+		`{"places":[["n","l"]],"units":[{"k":[0,0,1],"r":1,"w":[[1,1]]}]}`, `{"places":[["n","l"]],"units":[{"k":[0,0,1],"r":1,"w":[[0,0]]}]}`, `{"units":[{"k":[0,0,1],"r":1,"w":[]}]}`,
 		`{"units":[{"k":[0,1,-1],"r":2,"f":1,"x":2}]}`, `{"units":[{"k":[0,1,-1],"r":2,"f":1,"x":3}]}`, `{"units":[{"k":[0,1,-1],"r":2,"x":1,"f":1}]}`,
 		`{"split":true,"units":[{"k":[0,2,80],"r":1}]}`, `{"units":[{"k":[0,2,80],"r":1}]}`, `{"units":[{"k":[0,0,1],"r":1}`, `{"units":[{"k":[0,0,1],"r":1},]}`,
 	} {
--- a/internal/dispatch/active.go
+++ b/internal/dispatch/active.go
@@ -267,6 +267,9 @@
 		for _, m := range u.Members {
 			ap.addMember(j, key, m, u.Run, adopted)
 		}
+		for _, m := range u.FailedMembers {
+			j.unitState(key).avoid(m.Lifetime)
+		}
 	}
 }
 
--- a/internal/dispatch/gangfailure_test.go
+++ b/internal/dispatch/gangfailure_test.go
@@ -180,3 +180,33 @@
 		}
 	})
 }
+
+// Guards against a next run on the workers on which the last one has just failed, as a planner takes over in between: a
+// faulty worker used up the attempts of a job.
+func TestNextRunAvoidsFaultyWorkersAcrossPlanners(t *testing.T) {
+	tests := []struct {
+		name string
+		step workflow.Step
+	}{
+		{"task", task(1, 8)},
+		{"gang", gang(task(1, 8), 2)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			withVirtualTime(t, func(t *testing.T) {
+				c := newClusterWith(t, 3, 5, func(*standin.Store) {}, failingMembers(300*time.Millisecond, 600*time.Millisecond))
+				time.Sleep(3 * time.Second)
+				c.refuseStopsFor(time.Second)
+				c.submit("a", "red", "batch", tt.step)
+				time.Sleep(200 * time.Millisecond)
+				for _, a := range c.agents {
+					if e := a.machine.Executor(); len(e.Running()) == 0 {
+						e.FailAll(false)
+					}
+				}
+				c.killAtFailures("a", 1, func(journal.Record) {})
+				c.await(30*time.Second, shop.Done, "a")
+			})
+		})
+	}
+}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -40,8 +40,8 @@
 // unitState is what the planner knows of a unit in addition to its progress. It is not stored.
 type unitState struct {
 	readySince        time.Time // Since when it has been waiting; zero if it isn't.
-	avoidLifetime     string    // Lifetime of the worker on which it last failed or got stuck.
-	avoidUntil        time.Time // From then on that worker is used if no other has room.
+	avoidLifetimes    []string  // Lifetimes of the workers on which it last failed or got stuck.
+	avoidUntil        time.Time // From then on those workers are used if no other has room.
 	startedAt         clock.Instant
 	stopReason        string   // Why its run was told to stop; empty if it wasn't, or for a reason that its end tells.
 	gaveWay           int      // How many of its runs were preempted.
@@ -89,7 +89,14 @@
 
 // avoid keeps the unit off the worker of a lifetime for a while.
 func (u *unitState) avoid(lifetime string) {
-	u.avoidLifetime, u.avoidUntil = lifetime, time.Now().Add(avoidDuration)
+	now := time.Now()
+	if now.After(u.avoidUntil) {
+		u.avoidLifetimes = nil
+	}
+	if !slices.Contains(u.avoidLifetimes, lifetime) {
+		u.avoidLifetimes = append(u.avoidLifetimes, lifetime)
+	}
+	u.avoidUntil = now.Add(avoidDuration)
 }
 
 // markDeferred marks a step as deferred, and reports whether it wasn't before.
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -133,7 +133,7 @@
 	switch end {
 	case host.Done:
 		if !m.step().Endless {
-			u.Done, u.Checkpoint = true, "" // It never starts again.
+			u.Done, u.Checkpoint, u.FailedMembers = true, "", nil // It never starts again.
 		}
 	case host.Failed:
 		ap.countFailure(m, &u)
@@ -152,8 +152,8 @@
 // countFailure counts a failed run, once for all members of a gang, and fails the job if the
 // unit has no attempts left.
 func (ap *activePlanner) countFailure(m *member, u *clusterstate.UnitProgress) {
-	state := m.job.unitState(m.key)
-	state.avoid(m.lifetime)
+	m.job.unitState(m.key).avoid(m.lifetime)
+	u.FailedMembers = append(slices.Clone(u.FailedMembers), clusterstate.Member{Index: m.index, AgentName: m.worker.name, Lifetime: m.lifetime})
 	if m.step().Endless || m.key.IsGang() && u.FailedRun == m.run {
 		return
 	}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -77,7 +77,7 @@
 func (ap *activePlanner) claim(w waitingUnit, idx *viewIndex, workers []int) []*member {
 	u := w.job.progress.Units[w.key]
 	u.Run++
-	u.Members = nil
+	u.Members, u.FailedMembers = nil, nil
 	for i, at := range workers {
 		index := w.key.Index
 		if w.key.IsGang() {
@@ -220,14 +220,16 @@
 				Team: j.spec.Team, Service: q.Service, Priority: q.Priority, Step: spec, Members: 1,
 				ReadySince: state.readySince, Submitted: j.submitted,
 				Objective: due.Add(objective), HardDeadline: due.Add(lateFactor * objective),
-				Estimate: spec.Estimate, SpreadGroup: len(v.SpreadCounts) - 1, AvoidWorker: -1,
+				Estimate: spec.Estimate, SpreadGroup: len(v.SpreadCounts) - 1,
 				PreemptionCost: state.preemptionCost,
 			}
 			if k.IsGang() {
 				w.Members = spec.Count
 			}
-			if i, ok := byLifetime[state.avoidLifetime]; ok {
-				w.AvoidWorker, w.AvoidUntil = i, state.avoidUntil
+			for _, lifetime := range state.avoidLifetimes {
+				if i, ok := byLifetime[lifetime]; ok {
+					w.AvoidWorkers, w.AvoidUntil = append(w.AvoidWorkers, i), state.avoidUntil
+				}
 			}
 			for _, lifetime := range state.reservedLifetimes {
 				if i, ok := byLifetime[lifetime]; ok {
--- a/internal/schedule/load_test.go
+++ b/internal/schedule/load_test.go
@@ -279,7 +279,7 @@
 		v.Waiting = append(v.Waiting, schedule.WaitingUnit{
 			Team: teamName(j.team), Service: "s", Priority: j.class.priority, Step: j.step, Members: u.members, ReadySince: u.readySince,
 			Submitted: j.submitted, Objective: j.submitted.Add(objective), HardDeadline: j.submitted.Add(3 * objective),
-			Estimate: j.step.Estimate, SpreadGroup: len(v.SpreadCounts), AvoidWorker: -1, ReservedWorkers: u.reservedWorkers, PreemptionCost: u.preemptionCost,
+			Estimate: j.step.Estimate, SpreadGroup: len(v.SpreadCounts), ReservedWorkers: u.reservedWorkers, PreemptionCost: u.preemptionCost,
 		})
 		v.SpreadCounts = append(v.SpreadCounts, nil)
 		u.reservedWorkers = nil
--- a/internal/schedule/place.go
+++ b/internal/schedule/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -11,7 +12,7 @@
 // eligible reports whether the unit's tasks may run on the worker at all, whatever is free there.
 func (p *planner) eligible(w *WaitingUnit, worker int) bool {
 	o := &p.Workers[worker]
-	return o.Schedulable && (!o.Paused || p.allowPaused) && o.Takes(w.Service, w.Step) && (worker != w.AvoidWorker || !p.Now.Before(w.AvoidUntil))
+	return o.Schedulable && (!o.Paused || p.allowPaused) && o.Takes(w.Service, w.Step) && (!slices.Contains(w.AvoidWorkers, worker) || !p.Now.Before(w.AvoidUntil))
 }
 
 // fastEnough reports whether the worker is no slower than the limit of the unit that is being planned.
@@ -25,8 +26,9 @@
 
 // pausedKey tells apart the units for which needsPaused may have different results.
 type pausedKey struct {
-	step                          *workflow.Step
-	members, spreadGroup, avoided int
+	step                 *workflow.Step
+	members, spreadGroup int
+	avoided              string
 }
 
 // needsPaused reports whether only paused workers, or these together with others, could take a unit that
@@ -35,9 +37,9 @@
 	if !p.anyPaused || p.Now.Sub(w.ReadySince) < maxPauseWait {
 		return false
 	}
-	key := pausedKey{w.Step, w.Members, w.SpreadGroup, -1}
+	key := pausedKey{step: w.Step, members: w.Members, spreadGroup: w.SpreadGroup}
 	if p.Now.Before(w.AvoidUntil) {
-		key.avoided = w.AvoidWorker
+		key.avoided = fmt.Sprint(w.AvoidWorkers)
 	}
 	needed, known := p.pausedNeeded[key]
 	if !known {
@@ -138,7 +140,7 @@
 }
 
 // bestFit returns a worker with free resources for each member, or nil if not all fit. It fills
-// the fullest worker first, so that whole workers stay free for large tasks, and the one on which the unit
+// the fullest worker first, so that whole workers stay free for large tasks, and those on which the unit
 // has failed last.
 func (p *planner) bestFit(w *WaitingUnit, workers []int) []int {
 	demand := w.Step.Demand()
@@ -159,10 +161,10 @@
 	candidates = p.ofOneClass(w, candidates)
 	fast := p.prefersFast(w, candidates)
 	slices.SortStableFunc(candidates, func(a, b int) int {
-		switch w.AvoidWorker {
-		case a:
-			return 1
-		case b:
+		if avoidA, avoidB := slices.Contains(w.AvoidWorkers, a), slices.Contains(w.AvoidWorkers, b); avoidA != avoidB {
+			if avoidA {
+				return 1
+			}
 			return -1
 		}
 		return cmp.Or(p.compareClasses(w, fast, a, b), compareFree(p.free[a], p.free[b]))
--- a/internal/schedule/plan_test.go
+++ b/internal/schedule/plan_test.go
@@ -35,7 +35,7 @@
 // waitingUnit returns a unit of priority 1 that was submitted at testStart.
 func waitingUnit(s *workflow.Step, members int) schedule.WaitingUnit {
 	return schedule.WaitingUnit{
-		Team: "t", Service: "s", Priority: 1, Step: s, Members: members, AvoidWorker: -1,
+		Team: "t", Service: "s", Priority: 1, Step: s, Members: members,
 		ReadySince: testStart, Submitted: testStart, Objective: testStart.Add(time.Minute), HardDeadline: testStart.Add(3 * time.Minute),
 		Estimate: s.Estimate,
 	}
@@ -265,7 +265,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			w := waitingUnit(full, 1)
-			w.AvoidWorker, w.AvoidUntil = 0, testStart.Add(2*time.Second)
+			w.AvoidWorkers, w.AvoidUntil = []int{0}, testStart.Add(2*time.Second)
 			v := &schedule.View{
 				Now: testStart.Add(tt.since), Workers: newWorkers(3), SpreadCounts: make([]map[int]int, 1),
 				Waiting: []schedule.WaitingUnit{w},
--- a/internal/schedule/view.go
+++ b/internal/schedule/view.go
@@ -96,11 +96,10 @@
 	// ReservedWorkers is the worker of each member that the previous plan reserved, as an index
 	// into View.Workers. It is nil if there is no reservation.
 	ReservedWorkers []int
-	// AvoidWorker is a worker on which the unit has failed, as an index into View.Workers. It is
-	// negative if there is none. The unit doesn't start there before AvoidUntil, and afterwards only if
-	// no other worker has room.
-	AvoidWorker int
-	AvoidUntil  time.Time
+	// AvoidWorkers are workers on which the unit has failed, as indices into View.Workers. The unit doesn't
+	// start there before AvoidUntil, and afterwards only if no other worker has room.
+	AvoidWorkers []int
+	AvoidUntil   time.Time
 }
 
 // accelerators returns the number of accelerators that all members need.
