dispatch: bar calls of a worker's earlier lifetimes by a higher epoch

Cause: the agent's first start of the run got no answer and was still on its way after the repeat was answered and the run had ended. A new lifetime with the same id knows of no run, stop or epoch, and carried it out. The planner guards runs that it knows; it had dropped this one.

The agent breaks off its poll and polls with the higher epoch.

TestAbsenceInEarlierLifetimeEndsNoRun delivered a late start after the planner had called the new lifetime, which refuses it now. The start arrives before those calls instead, and the test also checks the refusal.

--- a/internal/dispatch/active.go
+++ b/internal/dispatch/active.go
@@ -321,6 +321,7 @@
 			Msg("A job's final state is stored.")
 	}
 	for _, w := range ap.workers {
+		ap.raiseEpoch(w)
 		w.wakeOrders()
 	}
 	return nil
--- a/internal/dispatch/lifetime_test.go
+++ b/internal/dispatch/lifetime_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -108,7 +109,7 @@
 }
 
 // A worker restarts under its id after a run was found absent in the lifetime before, and that answer arrives only
-// when the planner knows the next lifetime, in which the start can still take effect.
+// when the planner knows the next lifetime, in which the start has taken effect before the planner's first call there.
 func TestAbsenceInEarlierLifetimeEndsNoRun(t *testing.T) {
 	withVirtualTime(t, func(t *testing.T) {
 		c := newCluster(t, 1, 2)
@@ -130,6 +131,9 @@
 		refuseStop := func() error { return host.ErrUnhealthy }
 		a.refuseStop.Store(&refuseStop)
 		heartbeat := c.restartWorker(a, 2, checker).Heartbeat("s", "r1-0", 100)
+		if err := a.machine.Worker().Start(c.ctx, late); err != nil {
+			t.Fatal(err)
+		}
 		heartbeat.Draining, heartbeat.DrainRemaining = true, time.Minute
 		if err := a.process.Heartbeat(c.ctx, heartbeat); err != nil {
 			t.Fatal(err)
@@ -137,8 +141,8 @@
 		time.Sleep(500 * time.Millisecond)
 		close(released)
 		time.Sleep(500 * time.Millisecond)
-		if err := a.machine.Worker().Start(c.ctx, late); err != nil {
-			t.Fatal(err)
+		if err := a.machine.Worker().Start(c.ctx, late); !errors.Is(err, host.ErrFenced) {
+			t.Errorf("a start that arrives after the planner's calls: %v, want %v", err, host.ErrFenced)
 		}
 		time.Sleep(time.Second)
 		a.refuseStop.Store(nil)
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -12,6 +12,7 @@
 // applyReport applies an agent's report, given when it was asked for.
 func (ap *activePlanner) applyReport(w *worker, m *pb.WatchResponse, asked clock.Instant) {
 	now := clock.Now()
+	isFirst := w.receivedAt == 0
 	if m.GetAgentLife() != w.agentIncarnation { // Another process may have renewed the lease, also for an earlier planner.
 		w.otherLeaseEnd, w.lifetimeSince = ap.leaseEnd(w.contactAt), now
 	}
@@ -26,6 +27,8 @@
 		ap.Log.Info().Str("node", w.name).Str("lifetime", l).Str("before", w.lifetime).Str("life", w.agentIncarnation).Str("address", w.address).
 			Msg("A worker has another lifetime.")
 		w.lifetime, w.lifetimeSince = l, now
+		w.epochDue = w.epochDue || l != "" && !isFirst // Before the first report, it got no orders of this planner.
+		ap.raiseEpoch(w)
 		w.appliedEnds, w.storedEnds = endPosition{lifetime: l}, endPosition{lifetime: l}
 		w.ackingEnd, w.ackingFor, w.ackedEnd, w.unprovenAbsences = 0, 0, 0, nil
 		w.toldEnd, w.toldAt, w.moreEnds = 0, 0, false
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -57,6 +57,9 @@
 // worker is a worker as its agent reports it to the planner.
 type worker struct {
 	name             string
+	epoch            int64 // In calls to its agent: that of the planner, or a later one since the worker began a lifetime.
+	epochDue         bool  // The worker has begun a lifetime, and must get a higher epoch before anything starts there.
+	toldEpoch        int64 // The highest that its agent has been told, if that call wasn't lost.
 	address          string
 	cancelCalls      context.CancelFunc // Cancels the calls to the current address.
 	orderWakeup      chan struct{}
@@ -107,7 +110,7 @@
 func (ap *activePlanner) addWorker(a clusterstate.Address) *worker {
 	w, ok := ap.workers[a.Name]
 	if !ok {
-		w = &worker{name: a.Name, zone: a.Zone, orderWakeup: make(chan struct{}, 1), members: make(map[string]*member)}
+		w = &worker{name: a.Name, zone: a.Zone, epoch: ap.epoch, orderWakeup: make(chan struct{}, 1), members: make(map[string]*member)}
 		ap.workers[a.Name] = w
 	}
 	if a.Zone != "" {
@@ -154,6 +157,22 @@
 	return w.moreEnds && w.storedEnds.number > w.toldEnd && now.Sub(w.toldAt) >= minTellInterval
 }
 
+// raiseEpoch gives a worker that has begun a lifetime a higher epoch, so that it refuses the calls that were sent in an
+// earlier lifetime with the same id: they may arrive seconds later, also after their run has ended. It does nothing
+// until the journal has moved on. As no later planner has been seen before the offset up to which the journal was
+// applied, that offset is less than the epochs of all later planners.
+func (ap *activePlanner) raiseEpoch(w *worker) {
+	applied := ap.Follower.AppliedTo()
+	if !w.epochDue || applied <= w.epoch || ap.replaced.Load() {
+		return
+	}
+	ap.Log.Info().Str("node", w.name).Str("lifetime", w.lifetime).Int64("before", w.epoch).Int64("epoch", applied).
+		Msg("Calls of a worker's earlier lifetimes are barred.")
+	w.epoch, w.epochDue = applied, false
+	raisedEpochs.Inc()
+	w.wakeOrders()
+}
+
 // wakeOrders triggers sendOrders.
 func (w *worker) wakeOrders() {
 	select {
@@ -259,9 +278,10 @@
 	w.noteTold(clock.Now())
 	evacuations, _ := ap.evacuations()
 	grant := ap.grant(w)
+	w.toldEpoch = w.epoch
 	return &pb.WatchRequest{
 		Evacuation: ap.tellEvacuation(w, evacuations),
-		Epoch:      ap.epoch, AgentLife: w.agentIncarnation, Report: w.reportNumber,
+		Epoch:      w.epoch, AgentLife: w.agentIncarnation, Report: w.reportNumber,
 		Grant:    durationpb.New(grant),
 		Lifetime: w.storedEnds.lifetime, StoredEnd: w.storedEnds.number,
 		SeenVersion: w.reportVersion, Wait: durationpb.New(host.RenewalWait(w.receivedAt.Add(grant), watchWait)), Agent: w.name,
@@ -310,7 +330,7 @@
 	ap.mu.Lock()
 	defer ap.mu.Unlock()
 	req := &pb.OrderRequest{
-		Epoch: ap.epoch, Lifetime: w.lifetime,
+		Epoch: w.epoch, Lifetime: w.lifetime,
 		AgentLife: w.agentIncarnation, Report: w.reportNumber, Grant: durationpb.New(ap.grant(w)),
 		Agent: w.name,
 	}
@@ -320,14 +340,14 @@
 	var starts, stops []*member
 	now := clock.Now()
 	evacuations, asOf := ap.evacuations()
-	mustTell := w.mustTell(now) || evacuations.Evacuated(w.zone) != w.toldEvacuated
+	mustTell := w.mustTell(now) || w.epoch > w.toldEpoch || evacuations.Evacuated(w.zone) != w.toldEvacuated
 	req.Evacuation = ap.tellEvacuation(w, evacuations)
 	window := ap.startWindow(now, asOf)
 	for _, m := range sortedMembers(w.members) {
 		if ap.members[m.task] != m {
 			continue // It was withdrawn with another member of its gang.
 		}
-		if !m.mayRunIn(w.lifetime) || m.orderInFlight || len(starts)+len(stops) >= maxOrders {
+		if w.epochDue || !m.mayRunIn(w.lifetime) || m.orderInFlight || len(starts)+len(stops) >= maxOrders {
 			continue
 		}
 		switch m.status {
@@ -367,6 +387,7 @@
 	if len(req.GetStarts())+len(req.GetStops()) == 0 && !mustTell {
 		return nil, nil
 	}
+	w.toldEpoch = w.epoch
 	w.noteTold(now)
 	return req, append(starts, stops...)
 }
--- a/internal/host/handler.go
+++ b/internal/host/handler.go
@@ -30,7 +30,8 @@
 var errOtherAgent = errors.New("the call is meant for another agent")
 
 // checkCall refuses a call that is meant for another agent, unless its planner is of a version that names none.
-// It also refuses a call of an older planner, and records the epoch of a newer one.
+// It also refuses a call of an older planner, and records the epoch of a newer one, or a higher one of the same, with
+// which the worker is polled at once: from then on it refuses calls that were sent before.
 func (a *Agent) checkCall(agent string, epoch int64) error {
 	if agent != "" && agent != a.Name {
 		return connect.NewError(connect.CodeFailedPrecondition, fmt.Errorf("%w: %q, this is %q", errOtherAgent, agent, a.Name))
@@ -42,8 +43,11 @@
 			fmt.Errorf("%w: epoch %d, this call has %d", errOlderEpoch, a.epoch, epoch))
 	}
 	if epoch > a.epoch {
-		a.Log.Info().Int64("epoch", epoch).Int64("before", a.epoch).Msg("A planner has taken over.")
+		a.Log.Info().Int64("epoch", epoch).Int64("before", a.epoch).Msg("The epoch is higher.")
 		a.epoch = epoch
+		if a.cancelPoll != nil {
+			a.cancelPoll()
+		}
 		a.notifyChange()
 	}
 	return nil
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -64,6 +64,7 @@
 	changed     chan struct{} // Closed and replaced with each change.
 	version     uint64
 	epoch       int64
+	cancelPoll  context.CancelFunc // Ends Run's poll in progress, if there is one.
 	heartbeat   Heartbeat
 	ignored     ignoredHeartbeat
 	lifetime    Lifetime
@@ -330,15 +331,20 @@
 // Run polls the worker and renews its lease until ctx ends.
 func (a *Agent) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		req, ready, changed := a.nextPoll()
+		pollCtx, cancel := context.WithCancel(ctx)
+		req, ready, changed := a.nextPoll(cancel)
 		if !ready {
+			cancel()
 			waitFor(ctx, changed, pollWait)
 			continue
 		}
-		_, err := a.poll(ctx, req)
+		_, err := a.poll(pollCtx, req)
+		isCancelled := pollCtx.Err() != nil
+		cancel()
 		switch {
 		case ctx.Err() != nil:
-			return ctx.Err() // The poll was cancelled, so its error says nothing about the worker.
+			return ctx.Err()
+		case err != nil && isCancelled: // The error says nothing about the worker.
 		case err != nil:
 			a.handlePollError(req.Lifetime, err)
 			a.waitForChange(ctx, pollRetryDelay)
@@ -376,14 +382,15 @@
 	return len(a.ended) > 0 && a.ended[0].Number > a.lastStoredEnd
 }
 
-// nextPoll returns the next poll, or false and a channel that is closed at the next change if there is no lifetime
-// or planner yet.
-func (a *Agent) nextPoll() (req PollRequest, ready bool, changed <-chan struct{}) {
+// nextPoll returns the next poll, which cancel ends, or false and a channel that is closed at the next change if there
+// is no lifetime or planner yet.
+func (a *Agent) nextPoll(cancel context.CancelFunc) (req PollRequest, ready bool, changed <-chan struct{}) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.lifetime.ID == "" || a.epoch == 0 {
 		return req, false, a.nextChange()
 	}
+	a.cancelPoll = cancel
 	req = PollRequest{Lifetime: a.lifetime.String(), Epoch: a.epoch}
 	if a.unreachable {
 		// A call that is not answered may still extend the lease, so a worker that doesn't answer
--- a/internal/journal/follower.go
+++ b/internal/journal/follower.go
@@ -53,6 +53,7 @@
 
 	// These are atomic because callers read them while holding locks that Apply may need.
 	answeredAt atomic.Int64 // When the last answer to a read arrived.
+	applied    atomic.Int64 // As next.
 	caughtUpAt atomic.Int64 // When the last read that reached the end was sent.
 }
 
@@ -153,6 +154,9 @@
 // first. All records appended before then have been applied.
 func (f *Follower) CaughtUpAt() clock.Instant { return clock.Instant(f.caughtUpAt.Load()) }
 
+// AppliedTo returns the offset before which all records have been applied.
+func (f *Follower) AppliedTo() int64 { return f.applied.Load() }
+
 func (f *Follower) position() (next int64, loaded bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -234,6 +238,7 @@
 	}
 	f.loaded = true
 	f.next = max(f.next, page.Next)
+	f.applied.Store(f.next)
 	f.answeredAt.Store(int64(clock.Now()))
 	if f.PageApplied != nil {
 		applied := AppliedPage{Next: f.next}
