dispatch: stop runs that their worker no longer lists

Cause: the planner takes note of what a worker lists, and never noticed that a run it knows is neither among the running nor among the ended ones.

Change: a run that a worker leaves out of its lists for 3 s while it answers is stopped. The answer to the stop tells whether its end still follows; if none does, the task starts again. sniperill_planner_missing_runs_total counts them.

Evidence: TestTaskWhoseEndIsLostRunsAgain failed before ("a is running, want done" after 10 s) and passes now.

--- a/internal/dispatch/latecall_test.go
+++ b/internal/dispatch/latecall_test.go
@@ -156,3 +156,24 @@
 		c.reportViolations(checker)
 	})
 }
+
+// Guards against a job that stays running for good, as the end of its task is dropped before any answered look has shown
+// it.
+func TestTaskWhoseEndIsLostRunsAgain(t *testing.T) {
+	withVirtualTime(t, func(t *testing.T) {
+		c := newCluster(t, 3, 1)
+		time.Sleep(3 * time.Second)
+		c.submit("a", "red", "batch", task(1, 8))
+		time.Sleep(500 * time.Millisecond)
+		worker := c.agents[0].machine.Executor()
+		worker.CutOff(true)
+		time.Sleep(time.Second)
+		worker.CutOff(false)
+		planner, _ := c.entries[0].state.Planner()
+		late := host.PollRequest{Lifetime: worker.Lifetime.String(), Epoch: planner.Epoch, AckedEnd: 1}
+		if _, err := worker.Worker().Poll(c.ctx, late); err != nil {
+			t.Fatal(err)
+		}
+		c.await(10*time.Second, shop.Done, "a")
+	})
+}
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -44,6 +44,7 @@
 	lastStopAt    clock.Instant // When the newest stop was sent.
 	// ackedEndAtStop is up to which number the worker had forgotten its ended runs by then, at least.
 	ackedEndAtStop uint64
+	missingFor     time.Duration // For how long its worker has left it out of its lists, counting only the time of reports.
 	progress
 }
 
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -25,6 +25,7 @@
 	withdrawnStarts      = metrics.NewCounter("sniperill_planner_withdrawn_starts_total")
 	withheldStarts       = metrics.NewCounter("sniperill_planner_withheld_starts_total")
 	unclaimedRuns        = metrics.NewCounter("sniperill_planner_unclaimed_runs_total")
+	missingRuns          = metrics.NewCounter("sniperill_planner_missing_runs_total")
 	raisedEpochs         = metrics.NewCounter("sniperill_planner_raised_epochs_total")
 	planDuration         = metrics.NewHistogram("sniperill_planner_plan_duration_seconds")
 	storeDuration        = metrics.NewHistogram("sniperill_planner_store_duration_seconds")
@@ -63,6 +64,7 @@
 	stopPreempted  = "preempted"
 	stopLeaving    = "worker-leaving"
 	stopStandstill = "standstill"
+	stopMissing    = "missing"
 	stopCancelled  = "cancelled"
 )
 
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -74,6 +74,9 @@
 	if !m.GetMoreEnded() {
 		ap.stopAbsent(w, m.GetRunning())
 	}
+	if !w.unreachable {
+		ap.stopMissingRuns(w, m.GetRunning(), observed)
+	}
 }
 
 // updateAckedEnd updates up to which number the worker has forgotten its ended runs for certain, given for how
@@ -138,7 +141,7 @@
 // progress is not known while the worker is unreachable.
 func (w *worker) resetProgressTimes() {
 	for _, m := range w.members {
-		m.unchangedFor = 0
+		m.unchangedFor, m.missingFor = 0, 0
 	}
 }
 
@@ -189,3 +192,29 @@
 		}
 	}
 }
+
+// maxMissing is how long a worker that answers may leave a running task out of its lists.
+const maxMissing = 3 * time.Second
+
+// stopMissingRuns stops runs that a worker neither lists as running nor as ended for a while, given for how long its agent
+// has reported since the last time. Their ends may be lost, as a call may have acknowledged them that was meant for an
+// earlier lifetime. The answer to the stop tells whether an end still follows.
+func (ap *activePlanner) stopMissingRuns(w *worker, tasks []*pb.RunningTask, observed time.Duration) {
+	listed := make(map[string]int64, len(tasks))
+	for _, t := range tasks {
+		listed[t.GetTask()] = t.GetRun()
+	}
+	for _, m := range w.members {
+		if m.status != running || !m.mayRunIn(w.lifetime) || listed[m.task] == int64(m.run) {
+			m.missingFor = 0
+			continue
+		}
+		if m.missingFor += observed; m.missingFor < maxMissing {
+			continue
+		}
+		ap.Log.Warn().Str("task", m.task).Int("run", m.run).Str("node", w.name).Str("lifetime", w.lifetime).Dur("for", m.missingFor).
+			Msg("A worker no longer lists a running task; stopping it.")
+		missingRuns.Inc()
+		ap.stopUnit(m.job, m.key, stopMissing)
+	}
+}
