schedule: don't wait for a rack in vain

A task whose data's rack endless tasks fill waits for as long as its estimate.

Cause: workerGroups asked whether a rack would hold the unit once it is empty. What is endless never leaves. The wait for a rack had no limit, and that for a data's rack was the estimate.

Change: what endless tasks of jobs that go on use doesn't count as room to wait for. Without a rack that could hold it, a gang starts across racks at once. With one, and while half of all accelerators and twice its need are idle, it waits for as long as the longer run costs, ten seconds at most; the same holds for a data's rack. Preemption and reservations go by the same groups. What has been waited in a job's first steps counts across planners.

--- a/internal/dispatch/active.go
+++ b/internal/dispatch/active.go
@@ -260,6 +260,7 @@
 // adopt takes over a job and the runs that earlier planners claimed for it.
 func (ap *activePlanner) adopt(stored *clusterstate.Job) {
 	j := ap.addJob(stored, math.MaxInt64)
+	j.adopted = true
 	for key, u := range j.progress.Units {
 		if key.IsGang() {
 			j.progress.Units[key] = u.WithFailedRun(j.spec.Steps[key.Step].Count)
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -15,6 +15,7 @@
 type job struct {
 	spec           *workflow.Job
 	submitted      time.Time // By this process's monotonic clock.
+	adopted        bool      // An earlier planner knew it.
 	acceptedOffset int64     // Offset of the record by which it was accepted.
 	progress       clusterstate.Progress
 	cancelled      bool
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -99,16 +99,25 @@
 		members = append(members, ap.addMember(w.job, w.key, m, u.Run, claimed))
 	}
 	ap.Log.Info().Str("job", w.job.spec.ID).Int("occurrence", w.key.Occurrence).Int("step", w.key.Step).
-		Int("index", w.key.Index).Int("run", u.Run).Int("members", len(members)).Str("node", u.Members[0].AgentName).
+		Int("index", w.key.Index).Int("run", u.Run).Int("members", len(members)).Int("racks", countRacks(idx, workers)).Str("node", u.Members[0].AgentName).
 		Int64("epoch", ap.epoch).Uint64("report", idx.workers[workers[0]].reportNumber).
 		Int("priority", ap.currentQueue(w.job).Priority).Float64("pace", ap.slowestPace(idx, workers)).Dur("waited", waited).Msg("Claimed a run.")
 	return members
 }
 
+// countRacks returns in how many racks workers are.
+func countRacks(idx *viewIndex, workers []int) int {
+	racks := make(map[string]bool)
+	for _, i := range workers {
+		racks[idx.workers[i].hardware.Rack] = true
+	}
+	return len(racks)
+}
+
 // buildView returns the planner's state as the schedule package takes it, and what its indices
 // stand for.
 func (ap *activePlanner) buildView(now time.Time) (*schedule.View, *viewIndex) {
-	v := &schedule.View{Now: now, Guaranteed: make(map[string]int)}
+	v := &schedule.View{Now: now, Guaranteed: make(map[string]int), RemoteFactor: ap.RemoteFactor}
 	if rules := ap.Rules(); rules != nil {
 		for _, t := range rules.Teams {
 			v.Guaranteed[t.Name] = t.Guaranteed
@@ -213,6 +222,9 @@
 			state := j.unitState(k)
 			if state.readySince.IsZero() {
 				state.readySince = v.Now
+				if j.adopted && len(j.spec.Steps[k.Step].After) == 0 && j.progress.Units[k].Run == 0 {
+					state.readySince = j.due(k.Occurrence) // Before this planner stepped up.
+				}
 			}
 			spec := &j.spec.Steps[k.Step]
 			due := j.due(k.Occurrence)
--- a/internal/schedule/headroom.go
+++ b/internal/schedule/headroom.go
@@ -28,9 +28,9 @@
 	maxDeferral = 10 * time.Second
 )
 
-// headroom counts accelerators of a service's schedulable workers: those that are unallocated, all, and
-// those that work with time to spare must leave free.
-type headroom struct{ free, total, required int }
+// headroom counts accelerators of a service's schedulable workers: those that are unallocated, those that nothing runs
+// on, all, and those that work with time to spare must leave free.
+type headroom struct{ free, idle, total, required int }
 
 func (p *planner) countHeadroom() {
 	p.headroom = make(map[string]headroom)
@@ -46,6 +46,7 @@
 	}
 	for service, n := range workers {
 		h := p.headroom[service]
+		h.idle = h.free
 		h.required = n / headroomDivisor * (h.total / n) // In whole workers, so that a small cluster keeps none free.
 		if h.required > 0 {
 			peak := int(peakFactor * float64(peakArrivals(service, p.UrgentArrivals)))
--- a/internal/schedule/place.go
+++ b/internal/schedule/place.go
@@ -63,7 +63,8 @@
 // which one must hold all members, it takes the one whose workers suit the unit best.
 func (p *planner) findPlacement(w *WaitingUnit) []int {
 	var best []int
-	for _, group := range p.workerGroups(w) {
+	near, apart := p.workerGroups(w)
+	for _, group := range near {
 		placement := p.bestFit(w, group)
 		switch {
 		case placement == nil:
@@ -73,12 +74,16 @@
 			best = placement
 		}
 	}
+	if best == nil && apart != nil {
+		return p.bestFit(w, apart)
+	}
 	return best
 }
 
-// workerGroups returns the groups of workers to try for a unit, the best first. A group is a rack
-// that must hold all members, or all workers of the service.
-func (p *planner) workerGroups(w *WaitingUnit) [][]int {
+// workerGroups returns the groups of workers to try for a unit, the best first, and the workers for a gang that none of
+// them can hold; nil if it waits for one that can. A group is a rack that must hold all members, or all workers of the
+// service.
+func (p *planner) workerGroups(w *WaitingUnit) (near [][]int, apart []int) {
 	var dataRack, racks [][]int
 	var all []int
 	for i := range p.racks {
@@ -101,21 +106,37 @@
 	}
 	slices.SortStableFunc(racks, func(a, b []int) int { return p.freeAccelerators(a) - p.freeAccelerators(b) })
 	switch {
-	case len(dataRack) > 0 && p.fitsWhenEmpty(w, dataRack[0]) && !p.dataRackWaitExpired(w):
-		return dataRack
+	case len(dataRack) > 0 && p.fitsWhenEmpty(w, dataRack[0]) && p.Now.Sub(w.ReadySince) <= w.Estimate && !p.rackWaitExpired(w):
+		return dataRack, nil
 	case len(dataRack) > 0:
-		return append(append(dataRack, racks...), all)
-	case len(racks) > 0 && slices.ContainsFunc(racks, func(r []int) bool { return p.fitsWhenEmpty(w, r) }):
-		return racks
-	default:
-		return [][]int{all}
+		return append(append(dataRack, racks...), all), nil
+	case len(racks) == 0:
+		return [][]int{all}, nil
+	}
+	near = slices.DeleteFunc(racks, func(r []int) bool { return !p.fitsWhenEmpty(w, r) })
+	if len(near) > 0 && !p.rackWaitExpired(w) {
+		return near, nil
 	}
+	return near, all
 }
 
-// dataRackWaitExpired reports whether a unit has waited for its data's rack longer than running
-// elsewhere would cost.
-func (p *planner) dataRackWaitExpired(w *WaitingUnit) bool {
-	return p.Now.Sub(w.ReadySince) > w.Estimate
+// maxRackWait is how long a unit waits for a rack at most while most accelerators are idle. Users check for jobs that
+// wait despite free resources 14 s after the last submission (finish_s).
+const maxRackWait = 10 * time.Second
+
+// rackWaitExpired reports whether a unit has waited for a rack for longer than it is worth: than running elsewhere would
+// cost, if most accelerators are idle. Otherwise, a run that takes longer would take room from other work. What is endless
+// takes no longer elsewhere.
+func (p *planner) rackWaitExpired(w *WaitingUnit) bool {
+	if w.Step.Endless {
+		return true
+	}
+	cost := time.Duration(max(0, p.RemoteFactor-1) * float64(w.Estimate))
+	if p.Now.Sub(w.ReadySince) <= min(cost, maxRackWait) {
+		return false
+	}
+	h := p.headroom[w.Service]
+	return 2*h.idle >= h.total && h.idle >= 2*w.accelerators()
 }
 
 func (p *planner) freeAccelerators(workers []int) int {
@@ -128,12 +149,12 @@
 	return n
 }
 
-// fitsWhenEmpty reports whether all members would fit on the workers if these were empty.
+// fitsWhenEmpty reports whether all members would fit on the workers if these were empty but for what is endless.
 func (p *planner) fitsWhenEmpty(w *WaitingUnit, workers []int) bool {
 	n := 0
 	for _, i := range workers {
 		if p.eligible(w, i) {
-			n += min(p.spreadAllowance(w, i), p.Workers[i].Resources.FitCount(w.Step.Demand(), w.Members))
+			n += min(p.spreadAllowance(w, i), p.Workers[i].Resources.Minus(p.lasting[i]).FitCount(w.Step.Demand(), w.Members))
 		}
 	}
 	return n >= w.Members
--- a/internal/schedule/plan.go
+++ b/internal/schedule/plan.go
@@ -30,7 +30,8 @@
 	plan Plan
 	// free holds each worker's unallocated resources, releasing what stopping units still hold.
 	free, releasing []workflow.Resources
-	headroom        map[string]headroom // By service.
+	lasting         []workflow.Resources // Of each worker, what endless tasks use there for as long as their jobs go on.
+	headroom        map[string]headroom  // By service.
 	racks           []rack
 	runningByWorker [][]int // Indices into Running.
 	// runningGuaranteed and waitingGuaranteed mark the urgent units that are within their teams'
@@ -83,6 +84,7 @@
 func (p *planner) initResources() {
 	p.free = make([]workflow.Resources, len(p.Workers))
 	p.releasing = make([]workflow.Resources, len(p.Workers))
+	p.lasting = make([]workflow.Resources, len(p.Workers))
 	p.kept = make([]workflow.Resources, len(p.Workers))
 	p.keptFor = make([]time.Duration, len(p.Workers))
 	p.runningByWorker = make([][]int, len(p.Workers))
@@ -107,8 +109,11 @@
 		for _, w := range r.Workers {
 			p.free[w] = p.free[w].Minus(demand)
 			p.runningByWorker[w] = append(p.runningByWorker[w], i)
-			if r.Stopping {
+			switch {
+			case r.Stopping:
 				p.releasing[w] = p.releasing[w].Plus(demand)
+			case r.Step.Endless && !r.JobFinal:
+				p.lasting[w] = p.lasting[w].Plus(demand)
 			}
 		}
 	}
--- a/internal/schedule/preempt.go
+++ b/internal/schedule/preempt.go
@@ -109,17 +109,25 @@
 	return placement, startsIn
 }
 
-// cheapestPlacement tries each group of workers and returns the placement with the lowest cost.
+// cheapestPlacement tries each group of workers and returns the placement with the lowest cost. A gang is placed apart
+// only if no group can hold it.
 func (p *planner) cheapestPlacement(w *WaitingUnit, releaseCost func(int) (float64, bool), memberCost func(int) float64) (placement, victims []int, cost float64) {
 	base := p.newSimulation(releaseCost, memberCost)
 	var best *simulation
-	for _, group := range p.workerGroups(w) {
+	try := func(group []int) {
 		s := base.clone()
 		found := s.placeMembers(w, group)
 		if found != nil && (best == nil || s.totalCost < best.totalCost) {
 			best, placement = s, found
 		}
 	}
+	near, apart := p.workerGroups(w)
+	for _, group := range near {
+		try(group)
+	}
+	if best == nil && apart != nil {
+		try(apart)
+	}
 	if best == nil {
 		return nil, nil, 0
 	}
--- a/internal/schedule/view.go
+++ b/internal/schedule/view.go
@@ -122,6 +122,9 @@
 	SpreadCounts []map[int]int
 	// Guaranteed is the number of accelerators guaranteed to each team.
 	Guaranteed map[string]int
+	// RemoteFactor is how many times longer a task takes away from its data, or a gang in several racks that should be
+	// in one.
+	RemoteFactor float64
 	// UrgentArrivals is the urgent work that was submitted lately, whether it has ended or not, in order of
 	// submission.
 	UrgentArrivals []UrgentArrival
