--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -12,7 +12,6 @@
 // applyReport applies an agent's report, given when it was asked for.
 func (ap *activePlanner) applyReport(w *worker, m *pb.WatchResponse, asked clock.Instant) {
 	now := clock.Now()
-	isFirst := w.receivedAt == 0
 	if m.GetAgentLife() != w.agentIncarnation { // Another process may have renewed the lease, also for an earlier planner.
 		w.otherLeaseEnd, w.lifetimeSince = ap.leaseEnd(w.contactAt), now
 	}
@@ -27,8 +26,11 @@
 		ap.Log.Info().Str("node", w.name).Str("lifetime", l).Str("before", w.lifetime).Str("life", w.agentIncarnation).Str("address", w.address).
 			Msg("A worker has another lifetime.")
 		w.lifetime, w.lifetimeSince = l, now
-		w.epochDue = w.epochDue || l != "" && !isFirst // Before the first report, it got no orders of this planner.
-		ap.raiseEpoch(w)
+		if l != "" {
+			w.epochDue = w.epochDue || w.hadLifetime // In the first one, no call of this planner can be late.
+			w.hadLifetime = true
+			ap.raiseEpoch(w)
+		}
 		w.appliedEnds, w.storedEnds = endPosition{lifetime: l}, endPosition{lifetime: l}
 		w.ackingEnd, w.ackingFor, w.ackedEnd, w.unprovenAbsences = 0, 0, 0, nil
 		w.toldEnd, w.toldAt, w.moreEnds = 0, 0, false
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -60,6 +60,7 @@
 	epoch            int64 // In calls to its agent: that of the planner, or a later one since the worker began a lifetime.
 	epochDue         bool  // The worker has begun a lifetime, and must get a higher epoch before anything starts there.
 	toldEpoch        int64 // The highest that its agent has been told, if that call wasn't lost.
+	hadLifetime      bool  // Its agent has reported a lifetime.
 	address          string
 	cancelCalls      context.CancelFunc // Cancels the calls to the current address.
 	orderWakeup      chan struct{}
