--- a/internal/dispatch/latecall_test.go
+++ b/internal/dispatch/latecall_test.go
@@ -40,6 +40,19 @@
 	return late
 }
 
+// newClusterWithLateStart returns a cluster with one worker on which a job is done, and the first start of its task still
+// on its way.
+func newClusterWithLateStart(t *testing.T) (*cluster, *standin.RunChecker, *agent, *lateCalls) {
+	c := newCluster(t, 3, 1)
+	checker := c.watchRuns()
+	time.Sleep(3 * time.Second)
+	a := c.agents[0]
+	late := c.loseFirstStart(a)
+	c.submit("a", "red", "batch", task(1, 8))
+	c.await(5*time.Second, shop.Done, "a")
+	return c, checker, a, late
+}
+
 // arrive delivers the start, and a look and a stop that were sent with it, to a worker, and checks that it refuses them.
 func (l *lateCalls) arrive(t *testing.T, to host.Worker) {
 	t.Helper()
@@ -92,13 +105,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			withVirtualTime(t, func(t *testing.T) {
-				c := newCluster(t, 3, 1)
-				checker := c.watchRuns()
-				time.Sleep(3 * time.Second)
-				a := c.agents[0]
-				late := c.loseFirstStart(a)
-				c.submit("a", "red", "batch", task(1, 8))
-				c.await(5*time.Second, shop.Done, "a")
+				c, checker, a, late := newClusterWithLateStart(t)
 				time.Sleep(2 * time.Second) // The end is acknowledged.
 				tt.disrupt(c, a)
 				c.restartWorker(a, 3, checker)
@@ -115,13 +122,7 @@
 // Nothing of another job starts in a worker's next lifetime before that refuses calls of earlier ones.
 func TestNothingStartsBeforeCallsAreBarred(t *testing.T) {
 	withVirtualTime(t, func(t *testing.T) {
-		c := newCluster(t, 3, 1)
-		checker := c.watchRuns()
-		time.Sleep(3 * time.Second)
-		a := c.agents[0]
-		late := c.loseFirstStart(a)
-		c.submit("a", "red", "batch", task(1, 8))
-		c.await(5*time.Second, shop.Done, "a")
+		c, checker, a, late := newClusterWithLateStart(t)
 		c.submit("b", "red", "batch", task(20, 8))
 		time.Sleep(time.Second)
 		next := c.restartWorker(a, 2, checker)
@@ -138,13 +139,7 @@
 // Guards against a late call that arrives while the agent's poll waits for a second with the epoch of before.
 func TestCallsAreBarredOnceTheWorkerIsKnown(t *testing.T) {
 	withVirtualTime(t, func(t *testing.T) {
-		c := newCluster(t, 3, 1)
-		checker := c.watchRuns()
-		time.Sleep(3 * time.Second)
-		a := c.agents[0]
-		late := c.loseFirstStart(a)
-		c.submit("a", "red", "batch", task(1, 8))
-		c.await(5*time.Second, shop.Done, "a")
+		c, checker, a, late := newClusterWithLateStart(t)
 		time.Sleep(2 * time.Second)
 		a.mute.Store(true)
 		next := c.restartWorker(a, 2, checker)
