--- a/internal/dispatch/latecall_test.go
+++ b/internal/dispatch/latecall_test.go
@@ -18,6 +18,13 @@
 	start host.Start
 }
 
+// sentStart returns the start that got no answer.
+func (l *lateCalls) sentStart() host.Start {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.start
+}
+
 // loseFirstStart makes an agent's next start get no answer, while the repeat is answered.
 func (c *cluster) loseFirstStart(a *agent) *lateCalls {
 	late := &lateCalls{}
@@ -56,9 +63,7 @@
 // arrive delivers the start, and a look and a stop that were sent with it, to a worker, and checks that it refuses them.
 func (l *lateCalls) arrive(t *testing.T, to host.Worker) {
 	t.Helper()
-	l.mu.Lock()
-	s := l.start
-	l.mu.Unlock()
+	s := l.sentStart()
 	if s.Task == "" {
 		t.Fatal("no start was lost")
 	}
@@ -126,12 +131,15 @@
 		c, checker, a, late := newClusterWithLateStart(t)
 		c.submit("b", "red", "batch", task(20, 8))
 		time.Sleep(time.Second)
-		next := c.restartWorker(a, 2, checker)
-		next.OnStart = func(_ context.Context, s host.Start) {
-			if s.Epoch <= late.start.Epoch {
-				t.Errorf("run %d of %s starts in epoch %d, and calls of epoch %d may still arrive", s.Run, s.Task, s.Epoch, late.start.Epoch)
+		sent := late.sentStart()
+		c.setUpExecutor = func(next *standin.Executor) {
+			next.OnStart = func(_ context.Context, s host.Start) {
+				if s.Epoch <= sent.Epoch {
+					t.Errorf("run %d of %s starts in epoch %d, and calls of epoch %d may still arrive", s.Run, s.Task, s.Epoch, sent.Epoch)
+				}
 			}
 		}
+		c.restartWorker(a, 2, checker)
 		c.await(60*time.Second, shop.Done, "b")
 		c.reportViolations(checker)
 	})
